Tell peers the servers' loads and dead servers along with asks and answers

Seen (80 gateways, 60 servers, about 9 requests a second each): a gateway meets a server every 6 s. After a zone was lost each gateway ran into each dead server itself: 465 failed connects and 96 resets in two seconds. 30 to 40% of the requests were then refused as jammed, since attempts at the slow servers count as held.

At fault: report() dropped InFlight; cost() had only this gateway's own attempts, which in a fleet of 80 are none at nearly every server.

Now each ask and answer between gateways, which are sent anyway, ends with the 12 latest items of news: a hash of the server, the requests it holds (or that it takes no connection) and the age, 4 bytes each. The latest of all that is known goes on, so that news makes the round in a second. The choice of a server adds what others are told to have there, fading to the mean; a server told to be dead is ejected as after a failure of one's own. Ages are rounded up, or rumours would never die.

Tried and dropped: looking at four servers instead of two.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -3,7 +3,10 @@
 // A request meets its customer's quota, ARO, the choice of a server (pick), then maySend and mayRefuse.
 
 import (
+	"cmp"
+	"encoding/binary"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -59,6 +62,10 @@
 	silentAsks   = 3                      // asks without an answer after which a holder is not waited for
 	memberBurst  = 0.5                    // part of a ceiling's burst that members have without asking
 	memberRate   = 0.15                   // and of its rate
+	newsMost     = 12                     // servers told of in a message: a few messages go round them all
+	newsFor      = 4 * time.Second        // news older than that is not told; ages are told in a byte
+	newsHop      = 10 * time.Millisecond  // that a message takes, at most as a rule
+	newsFades    = 3 * time.Second        // time constant with which a load told loses its meaning
 	askShare     = 0.3                    // share of an inbox for a customer's asks granted or refused
 )
 
@@ -97,13 +104,14 @@
 	for _, e := range entries {
 		s := g.byID[e.ID]
 		if s == nil {
-			s = &server{lat: 1, queue: -1, credit: -1}
+			s = &server{lat: 1, queue: -1, credit: -1, load: -1, hash: hash(e.ID)}
 			g.byID[e.ID] = s
 			g.servers = append(g.servers, s)
 		}
 		if s.Boot != e.Boot {
 			// A restarted server is another one: nothing learned of it holds.
 			s.errs, s.strikes, s.ejected, s.lat, s.queue, s.credit, s.lost = 0, 0, 0, 1, -1, -1, false
+			s.load, s.loadAt, s.down = -1, 0, false
 		}
 		s.Server, s.listed = e, e.State != Removed
 		if _, ok := g.kinds[e.Kind]; !ok {
@@ -209,7 +217,7 @@
 	p := &g.set.Plans[plan]
 	if st == nil {
 		st = &store{key: key, plan: plan, spread: spread, first: first, at: g.now, pass: 1}
-		if st.split = spread; g.set.Peers && spread > 1 && g.tellGap > probesKept*probeEvery {
+		if st.split = spread; spread > 1 && g.wide() {
 			// As many holders as it takes for their inboxes to hold the asks.
 			st.wide, st.split = true, min(max(1, int(math.Ceil(p.Rate/(askShare*g.set.InboxPerS)))), spread)
 		}
@@ -401,6 +409,7 @@
 	}
 	if m.kind != kindBack {
 		g.aro.mix(poolShare, m.pool)
+		g.hearNews(m.news)
 	}
 	switch m.kind {
 	case kindAsk:
@@ -464,6 +473,55 @@
 	}
 }
 
+// News of servers. A gateway of a large fleet meets a server every few seconds, too seldom to see that it has
+// slowed down or died; all together meet it many times a second. What each learns goes round with the asks
+// and answers that are sent anyway.
+
+// wide tells whether the fleet is so large that tells to all of it come too late to go by.
+func (g *Gateway) wide() bool { return g.set.Peers && g.tellGap > probesKept*probeEvery }
+
+// freshest returns the servers of which the latest is known, at most n, newest first.
+func (g *Gateway) freshest(n int) []*server {
+	var news []*server
+	for _, s := range g.servers {
+		if s.loadAt > 0 && g.now-s.loadAt < newsFor && s.takes() {
+			news = append(news, s)
+		}
+	}
+	slices.SortFunc(news, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(b.loadAt, a.loadAt), cmp.Compare(a.ID, b.ID))
+	})
+	return news[:min(n, len(news))]
+}
+
+// hearNews takes in what another gateway knows of servers, where it is newer.
+func (g *Gateway) hearNews(b []byte) {
+	for ; len(b) >= newsBytes; b = b[newsBytes:] {
+		s := g.byHash[binary.BigEndian.Uint16(b)]
+		at := g.now - time.Duration(b[3])*ageUnit - newsHop
+		if s == nil || at <= s.loadAt+ageUnit+newsHop || g.now-at > newsFor {
+			continue // within the precision of ages it may be what is known already
+		}
+		if b[2] != newsDown {
+			s.holds(float64(b[2]), at)
+		} else if s.loadAt, s.down = at, true; g.now >= s.ejected {
+			g.eject(s)
+		}
+	}
+}
+
+// expected is the number of requests that the server is expected to hold besides this gateway's own: what
+// was told of it, the less the older that is.
+func (g *Gateway) expected(s *server) float64 {
+	switch {
+	case !g.wide():
+		return 0 // its own attempts tell a gateway of a small fleet more, and sooner
+	case s.load < 0:
+		return g.meanLoad
+	}
+	return g.meanLoad + (s.others-g.meanLoad)*math.Exp(-(g.now-s.loadAt).Seconds()/newsFades.Seconds())
+}
+
 // Overload control (ARO).
 
 // assess closes a probe, and every k probes sets f.
@@ -609,7 +667,8 @@
 		// Silence with work out counts as latency: it covers pauses, silent death and cut links alike.
 		lat = math.Max(lat, (g.now-s.seen).Seconds()/math.Max(g.meanLatency(), 1e-3))
 	}
-	cost := math.Max(lat, 0.1) * (1 + float64(s.out) + math.Max(s.queue, 0)) * (1 + errorWeight*s.errs)
+	held := float64(s.out) + math.Max(s.queue, 0) + g.expected(s)
+	cost := math.Max(lat, 0.1) * (1 + held) * (1 + errorWeight*s.errs)
 	cost /= g.warmth(s)
 	if s.Zone != g.set.Zone && g.set.PriceCross > 0 {
 		cost *= crossWeight
@@ -835,6 +894,7 @@
 		// Single connections fail at servers that live too: an answer on one made before takes it back, or
 		// that to a probe sent at once, before any process could have started.
 		s.doubt(g.now)
+		s.down, s.loadAt = true, g.now
 		if g.set.Probes && g.set.Report != ReportNone && s.check == 0 && s.takes() {
 			s.check, s.probed = g.now, g.now
 			g.out.Probe(s.ID)
@@ -842,13 +902,17 @@
 	}
 	s.errs += errorShare * (bad - s.errs)
 	if (s.errs > ejectAt || o.Result == ConnectFailed) && g.now >= s.ejected {
-		s.ejected = g.now + min(ejectFirst<<min(s.strikes, 10), ejectMost)
-		s.strikes++
-		s.errs = ejectAt / 2
+		g.eject(s)
 		g.log("ejected server %s after result %d, strike %d", s.ID, o.Result, s.strikes)
 	}
 }
 
+func (g *Gateway) eject(s *server) {
+	s.ejected = g.now + min(ejectFirst<<min(s.strikes, 10), ejectMost)
+	s.strikes++
+	s.errs = ejectAt / 2
+}
+
 // silent takes in that something sent to the server at a time came to nothing. If all else sent since did as
 // well, the machine has died, vanished or is cut off, long before the list says so. It gets no request until
 // it is heard again: probes find that out, where an ejection's end would risk a request, or several at once,
@@ -948,17 +1012,21 @@
 		g.log("overload: sending on %.2f of what quotas admit, occupancy %.2f", g.aro.f, g.aro.rho)
 	}
 	g.sweep()
-	var weight float64
+	var weight, load, told float64
 	keep := math.Exp(-probeEvery.Seconds() / forgetAfter.Seconds())
 	for _, s := range g.servers {
 		if s.takes() && g.warmth(s) >= 1 {
 			weight += g.weight(s)
 		}
+		if s.takes() && s.load >= 0 && !s.down {
+			load, told = load+s.others, told+1
+		}
 		if s.out == 0 {
 			s.lat = 1 + (s.lat-1)*keep
 			s.errs *= keep
 		}
 	}
+	g.meanLoad = load / math.Max(told, 1)
 	if weight > 0 {
 		g.warmRate += meanShare * (g.okWarm/weight/probeEvery.Seconds() - g.warmRate)
 	}
--- /dev/null
+++ b/choice/fleet_test.go
@@ -0,0 +1,112 @@
+package choice
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+)
+
+// fleetGate is a gateway of a large fleet whose servers report their load in answers.
+func fleetGate(t *testing.T, me int) (*Gateway, *recorder) {
+	s := testSettings()
+	s.Me, s.Instances, s.InboxPerS, s.Report = me, 300, 40, ReportAnswers
+	return newGate(t, s, fleet(4)...)
+}
+
+// learns lets a gateway hear a result of a request that it sent to a server, with a report of its load.
+func learns(t *testing.T, g *Gateway, r *recorder, now time.Duration, server string, res Result, l *Load) {
+	t.Helper()
+	q := newRequest(int(g.nextNum)+1, "unsafe", "rate", 5)
+	q.Units = 0
+	for _, s := range g.servers {
+		s.listed = s.ID == server // the only one that it may go to
+	}
+	g.Request(now, q, r)
+	for _, s := range g.servers {
+		s.listed = true
+	}
+	g.Outcome(now+ms, Outcome{ID: q.ID, Result: res, Closed: res == OK, Server: server, Took: ms, Load: l}, r)
+}
+
+// whispers returns a message that a gateway sends to another, as an ask.
+func whispers(g *Gateway, r *recorder, now time.Duration) []byte {
+	r.tells = nil
+	g.Request(now, wideRequest(int(g.nextNum)+1, 77), r)
+	return r.tells[g.holder(g.stores[77])][0]
+}
+
+// sendsTo counts the requests of many that a gateway sends to a server first.
+func sendsTo(g *Gateway, r *recorder, now time.Duration, server string) (to, all int) {
+	r.acts = nil
+	for n := range 200 {
+		q := newRequest(10000+n, "safe", "rate", uint64(1000+n))
+		g.Request(now, q, r)
+		if req := g.reqs[q.ID]; req != nil {
+			to += int(b2f(req.attempts[0].server.ID == server))
+			all++
+			g.Outcome(now, Outcome{ID: q.ID, Result: OK, Closed: true, Took: ms}, r)
+		}
+	}
+	return to, all
+}
+
+// A gateway of a large fleet meets a server every few seconds. What one learns of it, the others must go by.
+func TestLoadToldByAPeerIsAvoided(t *testing.T) {
+	teller, tr := fleetGate(t, 10)
+	for n, s := range []string{"s0", "s1", "s2", "s3"} {
+		learns(t, teller, tr, t0+time.Duration(n)*ms, s, OK, &Load{InFlight: float64(40 * b2f(s == "s0")), Queue: -1, Util: -1})
+	}
+	msg := whispers(teller, tr, t0+10*ms)
+	g, r := fleetGate(t, 11)
+	if to, all := sendsTo(g, r, t0+20*ms, "s0"); all < 100 || to < all/8 {
+		t.Fatalf("%d of %d went to a server of which nothing is known", to, all)
+	}
+	g.Peer(t0+20*ms, 10, msg, r)
+	if to, all := sendsTo(g, r, t0+30*ms, "s0"); all < 100 || to > all/8 {
+		t.Errorf("%d of %d went to the server told to hold 40", to, all)
+	}
+}
+
+// The first gateway whose connection is refused must spare the others the same.
+func TestDeadServerIsToldOf(t *testing.T) {
+	teller, tr := fleetGate(t, 10)
+	learns(t, teller, tr, t0, "s0", ConnectFailed, nil)
+	g, r := fleetGate(t, 11)
+	msg := whispers(teller, tr, t0+10*ms)
+	g.Peer(t0+20*ms, 10, msg, r)
+	if to, all := sendsTo(g, r, t0+30*ms, "s0"); all < 100 || to > 0 {
+		t.Errorf("%d of %d went to a server told to take no connection", to, all)
+	}
+	// What is told again is no news, and must not keep the server out for longer.
+	until := g.byID["s0"].ejected
+	g.Peer(until+10*ms, 10, whispers(teller, tr, until), r)
+	if g.byID["s0"].ejected != until {
+		t.Error("old news counted twice")
+	}
+}
+
+// Of two reports the newer counts, whichever way it came; news of servers unknown, or that can't be told
+// apart, changes nothing.
+func TestOldNewsChangesNothing(t *testing.T) {
+	g, r := fleetGate(t, 11)
+	learns(t, g, r, t0+time.Second, "s0", OK, &Load{InFlight: 3, Queue: -1, Util: -1})
+	entry := func(hash uint16, load, age byte) []byte {
+		return append(binary.BigEndian.AppendUint16(nil, hash), load, age)
+	}
+	s := g.byID["s0"]
+	g.now = t0 + 2*time.Second
+	g.hearNews(entry(s.hash, 50, byte(1500*ms/ageUnit)))
+	g.hearNews(entry(s.hash^1, 50, 0))
+	if s.load != 3 {
+		t.Errorf("load %v after old news", s.load)
+	}
+	g.hearNews(entry(s.hash, 50, byte(500*ms/ageUnit)))
+	if s.load != 50 {
+		t.Errorf("load %v after news", s.load)
+	}
+	g.byHash[s.hash] = nil
+	g.hearNews(entry(s.hash, 60, 0))
+	if s.load != 50 {
+		t.Errorf("load %v after news that may be of another server", s.load)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -19,6 +19,11 @@
 	ejected  time.Duration // ejected until then
 	strikes  int           // ejections in a row
 	queue    float64       // reported queue
+	load     float64       // requests that it holds, as reported to this or another gateway; below 0: not told
+	others   float64       // of them, those that are not this gateway's
+	loadAt   time.Duration // when that was told
+	down     bool          // the latest news is that it takes no connection
+	hash     uint16        // its name in news
 	credit   float64       // work that may be sent while cold; below 0: not begun
 	credited time.Duration
 	listed   bool
@@ -138,6 +143,7 @@
 
 	servers []*server
 	byID    map[string]*server
+	byHash  map[uint16]*server // nil for a hash that several share
 	reqs    map[string]*request
 	byNum   map[uint64]*request
 	nextNum uint64
@@ -165,6 +171,7 @@
 	topWeight        float64 // the largest of their weights
 	sized            bool    // their weights differ
 	kindLat          []*kindMean
+	meanLoad         float64 // requests that a server holds, on average over those told of
 	logAt            time.Duration
 }
 
@@ -195,7 +202,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	g := &Gateway{
-		set: s, rng: rand.New(rand.NewPCG(seed, 0x5ea)), byID: map[string]*server{}, reqs: map[string]*request{},
+		set: s, rng: rand.New(rand.NewPCG(seed, 0x5ea)), byID: map[string]*server{}, byHash: map[uint16]*server{}, reqs: map[string]*request{},
 		byNum: map[uint64]*request{}, class: map[string]int{}, plan: map[string]int{}, kinds: map[string]int{},
 		stores: map[uint64]*store{}, peers: make([]peer, s.Instances), lat: make([]classLatency, len(s.Classes)),
 	}
@@ -340,6 +347,11 @@
 	}
 }
 
+// holds takes in how many requests the server holds.
+func (s *server) holds(n float64, at time.Duration) {
+	s.load, s.others, s.loadAt, s.down = n, math.Max(n-float64(s.out), 0), at, false
+}
+
 // aside tells whether the server is kept for when no other is left.
 func (s *server) aside(now time.Duration) bool { return s.lost || now < s.ejected }
 
@@ -370,12 +382,18 @@
 func (g *Gateway) recount() {
 	kept := g.servers[:0]
 	g.topWeight, g.sized = 0, false
+	clear(g.byHash)
 	for _, s := range g.servers {
 		if !s.listed && s.out == 0 {
 			delete(g.byID, s.ID)
 			continue
 		}
 		kept = append(kept, s)
+		if _, shared := g.byHash[s.hash]; shared {
+			g.byHash[s.hash] = nil
+		} else {
+			g.byHash[s.hash] = s
+		}
 		if s.takes() {
 			g.sized = g.sized || g.topWeight > 0 && g.weight(s) != g.topWeight
 			g.topWeight = math.Max(g.topWeight, g.weight(s))
@@ -452,6 +470,9 @@
 	if l.Queue >= 0 {
 		s.queue = l.Queue
 	}
+	if l.InFlight >= 0 {
+		s.holds(l.InFlight, g.now)
+	}
 	if l.Util >= 0 {
 		s.reported = g.now
 		g.aro.sample(math.Min(l.Util, 1))
--- a/choice/tells.go
+++ b/choice/tells.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"hash/fnv"
 	"math"
 	"time"
 )
@@ -114,6 +115,7 @@
 	pass                float64
 	wait                time.Duration
 	pool                [poolSize]float64
+	news                []byte // entries of newsBytes each
 }
 
 // encodeAsk returns an ask: kind, number, customer, code of plan, spread and first, units.
@@ -121,7 +123,7 @@
 	msg := binary.AppendUvarint([]byte{kindAsk}, r.num)
 	msg = binary.AppendUvarint(msg, r.store.key)
 	msg = binary.AppendUvarint(msg, g.code(r.store))
-	return g.appendPool(binary.AppendVarint(msg, int64(math.Round(r.Units))))
+	return g.appendNews(g.appendPool(binary.AppendVarint(msg, int64(math.Round(r.Units)))))
 }
 
 // encodeAnswer returns an answer: kind, number, share of asks granted with 0 for granted or else 1 + the wait.
@@ -130,7 +132,7 @@
 	if !granted {
 		x += (1 + uint64(max(wait, 0)/waitUnit)) * (passParts + 1)
 	}
-	return g.appendPool(binary.AppendUvarint(binary.AppendUvarint([]byte{kindAnswer}, num), x))
+	return g.appendNews(g.appendPool(binary.AppendUvarint(binary.AppendUvarint([]byte{kindAnswer}, num), x)))
 }
 
 // encodeBack returns units or a place to the holder: kind, number, customer, units.
@@ -165,6 +167,9 @@
 			m.pool[i] = float64(r.int()) / poolParts
 		}
 	}
+	if m.kind != kindBack && !r.bad {
+		m.news, r.b = r.b, r.b[len(r.b)-len(r.b)%newsBytes:]
+	}
 	return m, !r.bad && len(r.b) == 0
 }
 
@@ -234,3 +239,30 @@
 	}
 	return sent
 }
+
+// News of servers ends an ask or an answer: per server the hash of its name, its load and how old that is.
+const (
+	newsBytes = 4                     // of an entry: two of the hash, one of the load, one of the age
+	newsDown  = 255                   // in place of a load: it takes no connection
+	ageUnit   = 20 * time.Millisecond // in which ages are told; a byte holds five seconds
+)
+
+// appendNews adds the latest news of servers, however it was learnt.
+func (g *Gateway) appendNews(b []byte) []byte {
+	for _, s := range g.freshest(newsMost) {
+		load := byte(math.Min(math.Round(s.load), newsDown-1))
+		if s.down {
+			load = newsDown
+		}
+		b = binary.BigEndian.AppendUint16(b, s.hash)
+		b = append(b, load, byte((g.now-s.loadAt+ageUnit-1)/ageUnit)) // rounded up, or old news would grow young
+	}
+	return b
+}
+
+// hash names a server in few bytes. Two that share one are left out of the news.
+func hash(id string) uint16 {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return uint16(h.Sum32() ^ h.Sum32()>>16)
+}
