Space the fleet's calls of discovery by its size and draw each pause

At fault: registry.run paused 100 ms doubling to 1 s, not drawn, whatever the size of the fleet.

The pause is now drawn from a span of 100 ms for each edge node of the fleet, doubling once while tries fail.

--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -104,35 +105,61 @@
 // Pace of the watch.
 const (
 	watchSilent  = 3 * time.Second        // a line comes every 2 s, and what is told counts as known 6 s later at the latest
-	backoffLeast = 100 * time.Millisecond // before the first new try of a watch that ended
-	backoffMost  = time.Second
+	callGap      = 100 * time.Millisecond // from one edge node's new try of a watch to the next one's, over the fleet
+	backoffMost  = time.Second            // for the first node of a small fleet
+	backoffTimes = 2                      // most pause of a large fleet, as a multiple of the first
 )
 
+// backoff is the pause before a new try of a watch. Discovery is one service for all edge
+// nodes: when it drops their watches or a release restarts them, they come at once, those
+// turned away come again, and calls that wait in its line for too long cost it as much as
+// those that it serves. A fleet that tries again at a pace that doesn't fall with its size
+// keeps discovery down. The pause is drawn, so that they don't come in step, from a span
+// that grows with their number.
+type backoff struct {
+	fleet int // edge nodes
+	rng   *rand.Rand
+	span  time.Duration // of the next pause; 0: the first
+}
+
+func (b *backoff) next() time.Duration {
+	first := time.Duration(b.fleet) * callGap
+	if b.span == 0 {
+		b.span = first
+	}
+	pause := time.Duration(b.rng.Int64N(int64(b.span)))
+	b.span = min(2*b.span, max(backoffMost, backoffTimes*first))
+	return pause
+}
+
+// reset makes the next pause a first one again.
+func (b *backoff) reset() { b.span = 0 }
+
 // registry follows the changes of the list of app servers.
 type registry struct {
 	addr   netip.AddrPort
 	silent time.Duration // watchSilent but in tests
 	last   uint64        // the version that is held
 	down   bool          // the latest watch ended and nothing has been heard since
+	pause  backoff
 	apply  func(List)
 	logf   func(format string, args ...any)
 }
 
 // run watches until ctx ends. A watch that breaks, ends or falls silent is opened
-// again from the version held, after a pause that doubles while nothing comes.
+// again from the version held, after a pause that grows while nothing comes.
 func (r *registry) run(ctx context.Context) {
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:       (&net.Dialer{Timeout: r.silent}).DialContext,
 		DisableKeepAlives: true, // each watch is a connection of its own
 	}}
-	pause := backoffLeast
 	for {
 		heard, err := r.watch(ctx, client)
 		if ctx.Err() != nil {
 			return
 		}
 		if heard {
-			pause = backoffLeast
+			r.pause.reset()
 		}
 		if !r.down { // one line for an outage, however often the watch is tried
 			r.down = true
@@ -141,9 +168,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(pause):
+		case <-time.After(r.pause.next()):
 		}
-		pause = min(2*pause, backoffMost)
 	}
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -84,7 +85,8 @@
 func startWatch(ctx context.Context, n *Node, addr netip.AddrPort, from uint64) *watch {
 	ctx, stop := context.WithCancel(ctx)
 	w := &watch{addr: addr, stop: stop, done: make(chan struct{})}
-	reg := &registry{addr: addr, silent: watchSilent, last: from, apply: n.heard, logf: n.log.Printf}
+	reg := &registry{addr: addr, silent: watchSilent, last: from, apply: n.heard, logf: n.log.Printf,
+		pause: backoff{fleet: n.cfg.Settings.Instances, rng: rand.New(rand.NewPCG(n.cfg.Seed, from))}}
 	go func() {
 		defer close(w.done)
 		reg.run(ctx)
--- a/internal/node/side_test.go
+++ b/internal/node/side_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -54,7 +55,8 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	r := &registry{addr: addr, silent: silent, last: 7, apply: func(l List) { lists <- l }, logf: t.Logf}
+	r := &registry{addr: addr, silent: silent, last: 7, apply: func(l List) { lists <- l }, logf: t.Logf,
+		pause: backoff{fleet: 1, rng: rand.New(rand.NewPCG(1, 2))}}
 	go func() {
 		r.run(ctx)
 		close(ended)
@@ -89,6 +91,31 @@
 	}
 }
 
+// Edge nodes that discovery dropped all at once, and turns away again and again, must not come
+// in step, nor the faster the more they are. A small fleet has its list back within a second.
+func TestCallsOfAFleetAreSpread(t *testing.T) {
+	for _, fleet := range []int{1, 4, 80, 300} {
+		calls := map[time.Duration]int{} // by the tenth of a second
+		for node := range fleet {
+			b := backoff{fleet: fleet, rng: rand.New(rand.NewPCG(uint64(node), 0))}
+			for at := b.next(); at < time.Minute; at += 2*time.Second + b.next() { // 2 s in discovery's line
+				calls[at/(100*time.Millisecond)]++
+			}
+			b.reset()
+			if first := b.next(); first > time.Duration(fleet)*callGap || fleet <= 10 && first > time.Second {
+				t.Errorf("fleet of %d: first pause %v", fleet, first)
+			}
+		}
+		most, all := 0, 0
+		for _, n := range calls {
+			most, all = max(most, n), all+n
+		}
+		if perS := float64(all) / 60; most > 8 || perS > 12 || all < fleet {
+			t.Errorf("fleet of %d: %.1f calls a second, %d in the worst tenth of one", fleet, perS, most)
+		}
+	}
+}
+
 // A watch can die without a word, with its connection open: silence well past the
 // heartbeat is taken for that.
 func TestSilentWatchIsReopened(t *testing.T) {
