Keep a quota whole at one holder where its inbox allows, with short pauses

At fault, two lines. storeFor split a quota over as many holders as its rate in units has requests for an inbox, as though each counted one unit: 3 parts for 7 members that are not loaded alike, so that one part was empty while another was full. heed made refused members pause for spread / 12 a second (up to 6 s) whenever the holder took in more than 12 messages a second; with 80 gateways each takes in 16 in quiet times, so that was always.

A quota is now split only where the asks that can be granted (rate over the units of a mean request, a quarter of the largest) fill half an inbox, and members pause for longer only from seven tenths of the inbox rate.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -66,7 +66,9 @@
 	newsFor      = 4 * time.Second        // news older than that is not told; ages are told in a byte
 	newsHop      = 10 * time.Millisecond  // that a message takes, at most as a rule
 	newsFades    = 3 * time.Second        // time constant with which a load told loses its meaning
-	askShare     = 0.3                    // share of an inbox for a customer's asks granted or refused
+	askShare     = 0.5                    // share of an inbox for a customer's asks granted or refused
+	inboxFull    = 0.7                    // share of an inbox from which members that ask in vain must pause
+	meanUnits    = 0.25                   // of the largest request, in a mean one: small ones are the most
 )
 
 // Start begins the gateway's work. Call it once, before any other event.
@@ -218,8 +220,9 @@
 	if st == nil {
 		st = &store{key: key, plan: plan, spread: spread, first: first, at: g.now, pass: 1}
 		if st.split = spread; spread > 1 && g.wide() {
-			// As many holders as it takes for their inboxes to hold the asks.
-			st.wide, st.split = true, min(max(1, int(math.Ceil(p.Rate/(askShare*g.set.InboxPerS)))), spread)
+			// As many holders as it takes for their inboxes to hold the asks that can be granted.
+			asks := p.Rate / math.Max(1, meanUnits*g.set.MostUnits)
+			st.wide, st.split = true, min(max(1, int(math.Ceil(asks/(askShare*g.set.InboxPerS)))), spread)
 		}
 		// Filled since this gateway's start: a store dropped when full comes back full.
 		st.level = math.Min(p.Burst, p.Burst/float64(st.split)+p.Rate*(g.now-g.started).Seconds())
@@ -427,7 +430,7 @@
 			if g.set.Plans[m.plan].Open > 0 {
 				st.leases = append(st.leases, lease{from, m.num, g.now + g.longestAim()})
 			}
-		} else if g.inboxRate > askShare*g.set.InboxPerS {
+		} else if g.inboxRate > inboxFull*g.set.InboxPerS {
 			// More members ask in vain than the inbox takes: each pauses until it is their turn again.
 			wait = max(wait, fill(float64(st.spread/st.split), askShare*g.set.InboxPerS))
 		}
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -141,3 +141,44 @@
 		t.Errorf("%d requests to a server known for %v, which may have %.0f", sent, known, most)
 	}
 }
+
+// A customer's members are not loaded alike: where its quota is kept in parts, one is refused while another
+// has room. One holder keeps it where an inbox takes the asks that the rate can grant.
+func TestQuotaIsKeptWholeWhereAnInboxAllows(t *testing.T) {
+	for _, c := range []struct {
+		rate, inbox, mostUnits float64
+		split                  int
+	}{{35, 40, 8, 1}, {35, 40, 0, 2}, {400, 40, 8, 7}, {200, 40, 8, 5}} {
+		s := testSettings()
+		s.Instances, s.InboxPerS, s.MostUnits = 80, c.inbox, c.mostUnits
+		s.Plans[1].Rate = c.rate
+		g, _ := newGate(t, s, fleet(4)...)
+		if st := g.storeFor(77, g.plan["rate"], 7, 0); !st.wide || st.split != c.split {
+			t.Errorf("%+v: wide %v, kept in %d parts", c, st.wide, st.split)
+		}
+	}
+}
+
+// A member refused may ask again as soon as the store has its units, unless the holder's inbox fills: a
+// longer pause outlasts a customer's burst and refuses what is inside its quota again.
+func TestRefusedMemberPausesOnlyForAFullInbox(t *testing.T) {
+	for _, c := range []struct {
+		inbox float64
+		pause bool
+	}{{0.4, false}, {0.9, true}} {
+		member, r := wideGate(t, 10)
+		member.Request(t0, wideRequest(1, 77), r)
+		holder := member.holder(member.stores[77])
+		h, hr := wideGate(t, holder)
+		h.storeFor(77, h.plan["rate"], 100, 10).level = 0
+		h.inboxRate = c.inbox * h.set.InboxPerS
+		h.Peer(t0, 10, r.tells[holder][0], hr)
+		member.Peer(t0+ms, holder, hr.tells[10][0], r)
+		if r.count("refuse") != 1 {
+			t.Fatalf("%v", r.acts)
+		}
+		if got := member.stores[77].shut > t0+time.Second; got != c.pause {
+			t.Errorf("inbox %v: no ask until %v", c.inbox, member.stores[77].shut-t0)
+		}
+	}
+}
