Take true units from answers and bring them to the quota's holder

The answers carry X-Settled, but nothing read it: every request counted in the store as it was guessed (the guess errs by half).

At fault: conn.read and Node.try, which left Outcome.Units at 0, while the simulator's adapter fills it in. Besides, giving units back to a holder cost a message for each answer, which would take the inboxes from 17 to 25 of the 40 messages a second that the settings allow.

The node reads X-Settled (a figure over the largest request's, or that is no number, is none). A member adds up what its customer's requests counted less and tells the sum with the next ask.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -389,6 +389,7 @@
 
 func (g *Gateway) ask(r *request) {
 	g.out.Tell(r.holder, g.encodeAsk(r))
+	r.store.settled -= math.Round(r.store.settled)
 	if g.peers[r.holder].unanswered >= silentAsks {
 		g.unanswered(r)
 		return
@@ -423,11 +424,13 @@
 		if st.plan != m.plan || !st.wide {
 			return
 		}
+		p := &g.set.Plans[m.plan]
+		st.level = math.Max(math.Min(st.level+m.settled, p.Burst/st.parts), -p.Burst)
 		in, wait := g.quota(st, m.units)
-		if in = in && (g.set.Plans[m.plan].CeilingRate <= 0 || st.ceiling >= m.units); in {
+		if in = in && (p.CeilingRate <= 0 || st.ceiling >= m.units); in {
 			wait, st.ceiling = 0, st.ceiling-m.units
 			g.take(st, m.units)
-			if g.set.Plans[m.plan].Open > 0 {
+			if p.Open > 0 {
 				st.leases = append(st.leases, lease{from, m.num, g.now + g.longestAim()})
 			}
 		} else if g.inboxRate > inboxFull*g.set.InboxPerS {
@@ -525,6 +528,17 @@
 	return g.meanLoad + (s.others-g.meanLoad)*math.Exp(-(g.now-s.loadAt).Seconds()/newsFades.Seconds())
 }
 
+// settle takes in by how many units a request counted less than was guessed. A holder learns that with the
+// next ask of its customer: a message for each answer would fill the inboxes by half as much again.
+func (g *Gateway) settle(r *request, units float64) {
+	g.fillUp(r.store)
+	if r.store.wide && r.holder != g.set.Me {
+		r.store.settled += units
+		return
+	}
+	g.giveBack(r, units)
+}
+
 // Overload control (ARO).
 
 // assess closes a probe, and every k probes sets f.
@@ -840,8 +854,7 @@
 	g.learn(r, s, o)
 	if o.Result == OK && g.set.PostPaid && o.Units > 0 && r.inQuota && !r.settled {
 		r.settled = true
-		g.fillUp(r.store)
-		g.giveBack(r, r.Units-o.Units)
+		g.settle(r, r.Units-o.Units)
 	}
 	if o.Closed || o.Result == OK {
 		g.close(r)
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -182,3 +182,29 @@
 		}
 	}
 }
+
+// What a request counted less than guessed must come back to the store, which another gateway holds.
+func TestHolderLearnsTrueUnits(t *testing.T) {
+	s := testSettings()
+	s.Instances, s.InboxPerS, s.PostPaid, s.Me = 300, 40, true, 10
+	member, r := newGate(t, s, fleet(4)...)
+	q := wideRequest(1, 77)
+	q.Units = 7
+	member.Request(t0, q, r)
+	holder := member.holder(member.stores[77])
+	h, hr := wideGate(t, holder)
+	st := h.storeFor(77, h.plan["rate"], 100, 10)
+	full := st.level
+	h.Peer(t0, 10, r.tells[holder][0], hr)
+	member.Peer(t0, holder, hr.tells[10][0], r)
+	member.Outcome(t0, Outcome{ID: q.ID, Result: OK, Closed: true, Units: 2}, r)
+	for n := range 2 { // told once, not again
+		next := wideRequest(2+n, 77)
+		next.Units = 0
+		member.Request(t0, next, r)
+		h.Peer(t0, 10, r.tells[holder][1+n], hr)
+		if st.level != full-2 {
+			t.Errorf("level %v of %v after ask %d, want 2 less", st.level, full, n)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -92,6 +92,7 @@
 	ceiling   float64 // units left of this gateway's part of the ceiling
 	since     float64 // units sent since the last tell
 	untold    float64 // units to tell, settlements included
+	settled   float64 // units that true figures leave over or lack, for the holder to learn with the next ask
 	out       int     // attempts out
 	opened    int     // tries sent since the last tell
 	zeros     int     // tells that said nothing is out
--- a/choice/tells.go
+++ b/choice/tells.go
@@ -110,7 +110,7 @@
 	kind                byte
 	num, key            uint64
 	plan, spread, first int
-	units               float64
+	units, settled      float64
 	granted             bool
 	pass                float64
 	wait                time.Duration
@@ -118,12 +118,13 @@
 	news                []byte // entries of newsBytes each
 }
 
-// encodeAsk returns an ask: kind, number, customer, code of plan, spread and first, units.
+// encodeAsk returns an ask: kind, number, customer, code of plan, spread and first, units, units settled.
 func (g *Gateway) encodeAsk(r *request) []byte {
 	msg := binary.AppendUvarint([]byte{kindAsk}, r.num)
 	msg = binary.AppendUvarint(msg, r.store.key)
 	msg = binary.AppendUvarint(msg, g.code(r.store))
-	return g.appendNews(g.appendPool(binary.AppendVarint(msg, int64(math.Round(r.Units)))))
+	msg = binary.AppendVarint(msg, int64(math.Round(r.Units)))
+	return g.appendNews(g.appendPool(binary.AppendVarint(msg, int64(math.Round(r.store.settled)))))
 }
 
 // encodeAnswer returns an answer: kind, number, share of asks granted with 0 for granted or else 1 + the wait.
@@ -149,7 +150,7 @@
 	case kindAsk:
 		m.key = r.uint()
 		ok = g.decode(r.uint(), &m.plan, &m.spread, &m.first)
-		m.units = float64(r.int())
+		m.units, m.settled = float64(r.int()), float64(r.int())
 		r.bad = r.bad || !ok || m.units < 0
 	case kindAnswer:
 		x := r.uint()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -204,13 +204,14 @@
 	defer n.work.Done()
 	rep, result := n.up.exchange(ctx, a.server, &fl.msg)
 	a.cancel()
+	units := rep.settled(n.cfg.Settings.MostUnits)
 	n.event(func(now time.Duration, out choice.Actions) {
 		if result == choice.OK {
 			n.end(fl, answer{kind: served, reply: rep})
 		}
 		fl.out--
 		n.gw.Outcome(now, choice.Outcome{ID: fl.id, Attempt: a.number, Closed: fl.done, Result: result,
-			Server: a.server, Took: now - a.sent, Load: rep.load, Since: n.since(rep)}, out)
+			Server: a.server, Took: now - a.sent, Units: units, Load: rep.load, Since: n.since(rep)}, out)
 		n.forget(fl)
 	})
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -50,9 +50,19 @@
 	body        []byte
 	contentType string
 	load        *choice.Load // nil: it carried no report
+	units       float64      // that the request counted in the end; 0: not told
 	since       time.Time    // when the connection that it came on was made; zero: there was no answer
 }
 
+// settled is the true units of a request, 0 where they are not told or are more than any
+// request counts, which a spoilt figure is.
+func (r *reply) settled(most float64) float64 {
+	if most > 0 && r.units > most {
+		return 0
+	}
+	return r.units
+}
+
 // upstream holds the connections to app servers. net/http's own client is not used:
 // it silently sends a request again when a kept connection turns out dead, which
 // would be a second copy. Here one call of exchange writes a request once at most.
@@ -521,6 +531,9 @@
 	if text := resp.Header.Get("Endpoint-Load-Metrics"); text != "" {
 		rep.load = parseLoad(text)
 	}
+	if units, ok := decimal(resp.Header.Get("X-Settled")); ok {
+		rep.units = units
+	}
 	c.in.settle()
 	// What stands behind the answer belongs to no request: the next one would take it for its own.
 	reuse = !resp.Close && c.br.Buffered() == 0
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -94,6 +94,19 @@
 	}
 }
 
+// The true units that an answer tells are what the quota counts; a figure that can't be is none.
+func TestSettledUnits(t *testing.T) {
+	for text, want := range map[string]float64{"": 0, "X-Settled: 3\r\n": 3, "X-Settled: 8\r\n": 8, "X-Settled: 9\r\n": 0,
+		"X-Settled: -1\r\n": 0, "X-Settled: many\r\n": 0, "X-Settled: 1e300\r\n": 0, "X-Settled: NaN\r\n": 0} {
+		s := newAppServer(t, say("HTTP/1.1 200 OK\r\n"+text+"Content-Length: 4\r\n\r\nbody"))
+		rep, res := exchange(t, testUpstream(s.instance("a")), "a")
+		wantResult(t, res, choice.OK)
+		if got := rep.settled(8); got != want {
+			t.Errorf("%q: %v units, want %v", text, got, want)
+		}
+	}
+}
+
 // A break is a reset, whichever part of the answer it cuts: passed on in part, it
 // could not be tried elsewhere.
 func TestBrokenAnswerIsReset(t *testing.T) {
