Tell peers of a server's errors, which make it look idle

All come from 7 servers that answer half of their requests with 500 within 2 ms; they report no load, so that the news of loads draws requests to them. An error may have run: where the class is unsafe the request has failed.

Checked: errors elsewhere are 0.2%; ejections do happen, but each gateway needs about three errors in a row of its own, 15 s at one request in 5 s, and half a second of ejection passes before it would come by again.

At fault: the news told of load alone, and aside() ended with the ejection.

A bit of a load told now says that the last answer was an error, and counts at the listener like an answer of its own. In large fleets a server stays aside as long as its error average is over the bound that ejects, which fades or is answered away.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -113,7 +113,7 @@
 		if s.Boot != e.Boot {
 			// A restarted server is another one: nothing learned of it holds.
 			s.errs, s.strikes, s.ejected, s.lat, s.queue, s.credit, s.lost = 0, 0, 0, 1, -1, -1, false
-			s.load, s.loadAt, s.down = -1, 0, false
+			s.load, s.loadAt, s.down, s.bad = -1, 0, false, false
 		}
 		s.Server, s.listed = e, e.State != Removed
 		if _, ok := g.kinds[e.Kind]; !ok {
@@ -509,7 +509,9 @@
 			continue // within the precision of ages it may be what is known already
 		}
 		if b[2] != newsDown {
-			s.holds(float64(b[2]), at)
+			s.holds(float64(b[2]&^newsBad), at)
+			s.bad = b[2]&newsBad != 0
+			s.errs += errorShare * (b2f(s.bad) - s.errs)
 		} else if s.loadAt, s.down = at, true; g.now >= s.ejected {
 			g.eject(s)
 		}
@@ -646,7 +648,7 @@
 	// Gateways that all took the best of all servers would crowd it. Each looks at a random part.
 	looks := max(len(g.servers)/g.set.Instances+1, 2)
 	for i := range g.servers {
-		if best != nil && looks == 0 && !best.aside(g.now) {
+		if best != nil && looks == 0 && !g.aside(best) {
 			break
 		}
 		j := i + g.rng.IntN(len(g.servers)-i)
@@ -659,7 +661,7 @@
 		switch {
 		case s.lost && len(r.attempts) > 0:
 			continue // a further attempt there would only cost the client time
-		case s.aside(g.now):
+		case g.aside(s):
 			cost += 1e6 // only if no other is left; no look, or those in service would be taken blindly
 		case g.rng.Float64()*g.topWeight > g.share(s):
 			cost += 1e3 // candidates are drawn by their size
@@ -909,7 +911,7 @@
 		s.lat += latencyShare * (o.Took.Seconds()/math.Max(g.lat[r.class].mean, 1e-3) - s.lat)
 		bad = 0.5
 	case ErrorAnswer:
-		s.seen = g.now
+		s.seen, s.bad, s.loadAt = g.now, true, g.now
 	}
 	if o.Result == ConnectFailed {
 		// The process may have restarted and be cold, long before the list says so. Also covers one
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -208,3 +208,26 @@
 		}
 	}
 }
+
+// A server that fails fast looks idle. Its errors at one gateway must count at all, until it answers well.
+func TestErrorsAtAPeerCount(t *testing.T) {
+	teller, tr := fleetGate(t, 10)
+	g, r := fleetGate(t, 11)
+	now := t0
+	hear := func(res Result, times int) {
+		for range times {
+			now += 100 * ms
+			learns(t, teller, tr, now, "s0", res, &Load{InFlight: 0, Queue: -1, Util: -1})
+			teller.byID["s0"].ejected = 0 // the teller goes on trying
+			g.Peer(now+10*ms, 10, whispers(teller, tr, now+5*ms), r)
+		}
+	}
+	hear(ErrorAnswer, 3)
+	if to, all := sendsTo(g, r, now+20*ms, "s0"); all < 100 || to > 0 {
+		t.Errorf("%d of %d went to a server told to fail", to, all)
+	}
+	hear(OK, 8)
+	if g.aside(g.byID["s0"]) {
+		t.Error("a server told to be well again is kept aside")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -23,6 +23,7 @@
 	others   float64       // of them, those that are not this gateway's
 	loadAt   time.Duration // when that was told
 	down     bool          // the latest news is that it takes no connection
+	bad      bool          // or that its last answer was an error
 	hash     uint16        // its name in news
 	credit   float64       // requests that may be sent while cold; below 0: not begun
 	credited time.Duration
@@ -350,11 +351,14 @@
 
 // holds takes in how many requests the server holds.
 func (s *server) holds(n float64, at time.Duration) {
-	s.load, s.others, s.loadAt, s.down = n, math.Max(n-float64(s.out), 0), at, false
+	s.load, s.others, s.loadAt, s.down, s.bad = n, math.Max(n-float64(s.out), 0), at, false, false
 }
 
-// aside tells whether the server is kept for when no other is left.
-func (s *server) aside(now time.Duration) bool { return s.lost || now < s.ejected }
+// aside tells whether the server is kept for when no other is left. An ejection ends too soon for a fleet that
+// hears of the same server's errors from all its gateways: there it stays aside while its answers are bad.
+func (g *Gateway) aside(s *server) bool {
+	return s.lost || g.now < s.ejected || s.errs > ejectAt && g.wide()
+}
 
 // takes tells whether the server is in the list and not draining.
 func (s *server) takes() bool { return s.listed && s.State == Up }
--- a/choice/tells.go
+++ b/choice/tells.go
@@ -244,6 +244,7 @@
 // News of servers ends an ask or an answer: per server the hash of its name, its load and how old that is.
 const (
 	newsBytes = 4                     // of an entry: two of the hash, one of the load, one of the age
+	newsBad   = 1 << 7                // bit of a load: its last answer was an error
 	newsDown  = 255                   // in place of a load: it takes no connection
 	ageUnit   = 20 * time.Millisecond // in which ages are told; a byte holds five seconds
 )
@@ -251,9 +252,12 @@
 // appendNews adds the latest news of servers, however it was learnt.
 func (g *Gateway) appendNews(b []byte) []byte {
 	for _, s := range g.freshest(newsMost) {
-		load := byte(math.Min(math.Round(s.load), newsDown-1))
-		if s.down {
+		load := byte(math.Min(math.Max(math.Round(s.load), 0), newsBad-2))
+		switch {
+		case s.down:
 			load = newsDown
+		case s.bad:
+			load |= newsBad
 		}
 		b = binary.BigEndian.AppendUint16(b, s.hash)
 		b = append(b, load, byte((g.now-s.loadAt+ageUnit-1)/ageUnit)) // rounded up, or old news would grow young
