Leave each server of a large fleet to a quarter of its gateways

Besides the price each handshake costs the server work and the request its time, and a server so seldom met is hardly known.

Checked: connections don't run out by idling (0 closed as idle, 0 written to a closed one), and 16 parallel attempts a node at most need few more.

At fault: pick, which drew its candidates from all servers.

A server now has 20 home gateways of 80, those whose number hashes lowest with its id: all agree without a word, each server has exactly as many, and a lost server's load spreads evenly. A gateway goes to others' servers only if none of its own is in service, and not to cold ones among them, since the fall-over budget is now shared by the homes (rule 4). Fleets that are small enough for tells are left as they are.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -62,6 +62,7 @@
 	silentAsks   = 3                      // asks without an answer after which a holder is not waited for
 	memberBurst  = 0.5                    // part of a ceiling's burst that members have without asking
 	memberRate   = 0.15                   // and of its rate
+	homeShare    = 0.25                   // share of the gateways of a large fleet that a server is left to
 	newsMost     = 12                     // servers told of in a message: a few messages go round them all
 	newsFor      = 4 * time.Second        // news older than that is not told; ages are told in a byte
 	newsHop      = 10 * time.Millisecond  // that a message takes, at most as a rule
@@ -107,6 +108,7 @@
 		s := g.byID[e.ID]
 		if s == nil {
 			s = &server{lat: 1, queue: -1, credit: -1, load: -1, hash: hash(e.ID)}
+			s.home = g.isHome(e.ID, g.homes())
 			g.byID[e.ID] = s
 			g.servers = append(g.servers, s)
 		}
@@ -641,6 +643,16 @@
 
 // Choice of a server.
 
+// homes is the number of gateways that a server is left to. Connections cost work and time to make, and a
+// server takes only so many: where every gateway goes to every server, each request or two needs a new one.
+// The gateways that share a server are few enough to keep theirs, and meet it often enough to know it.
+func (g *Gateway) homes() int {
+	if !g.wide() {
+		return g.set.Instances
+	}
+	return int(math.Ceil(homeShare * float64(g.set.Instances)))
+}
+
 // pick returns the server with the least expected delay that the request may go to, or nil.
 func (g *Gateway) pick(r *request) *server {
 	var best *server
@@ -663,6 +675,8 @@
 			continue // a further attempt there would only cost the client time
 		case g.aside(s):
 			cost += 1e6 // only if no other is left; no look, or those in service would be taken blindly
+		case !s.home:
+			cost += 1e5 // only if none of this gateway's own is in service
 		case g.rng.Float64()*g.topWeight > g.share(s):
 			cost += 1e3 // candidates are drawn by their size
 		default:
@@ -699,7 +713,7 @@
 // one is seen to carry, which all together can't exceed the whole.
 func (g *Gateway) coldRoom(s *server) bool {
 	g.saveUp(s)
-	return s.credit < 0 || s.credit >= 1
+	return s.credit < 0 || s.home && s.credit >= 1
 }
 
 // saveUp counts the requests that may be sent to a cold server; a warm one has no such bound. It starts by
@@ -716,7 +730,7 @@
 	}
 	// A server does at least a second's work a second, which counts where no warm one is seen.
 	rate := coldShare * g.set.FallMultiple * w * g.weight(s) *
-		math.Max(g.warmRate, 1/float64(g.set.Instances)) / work
+		math.Max(g.warmRate, 1/float64(g.homes())) / work
 	if s.credit < 0 {
 		s.credit = g.rng.Float64()
 	} else {
@@ -896,7 +910,7 @@
 		g.observe(r.class, s, o.Took)
 		// Rule 4: only of servers that count in the mean, and only work that is known: answers of
 		// draining servers or a guess that proves too high would inflate what cold ones may be sent.
-		if g.warmth(s) >= 1 && s.takes() {
+		if g.warmth(s) >= 1 && s.takes() && s.home {
 			g.okWarm += g.learnedWork(r.class)
 		}
 	case Moot, Cancelled:
@@ -1042,7 +1056,7 @@
 	keep := math.Exp(-probeEvery.Seconds() / forgetAfter.Seconds())
 	for _, s := range g.servers {
 		g.saveUp(s) // from the moment that it is known, not from its first turn
-		if s.takes() && g.warmth(s) >= 1 {
+		if s.takes() && s.home && g.warmth(s) >= 1 {
 			weight += g.weight(s)
 		}
 		if s.takes() && s.load >= 0 && !s.down {
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -231,3 +231,41 @@
 		t.Error("a server told to be well again is kept aside")
 	}
 }
+
+// Where every gateway goes to every server, each needs connections to all. A server of a large fleet is left
+// to the same number of gateways, which all agree on; the others go there only if they have none else.
+func TestServersAreLeftToTheirHomes(t *testing.T) {
+	for instances, want := range map[int]int{1: 1, 3: 3, 80: 20, 300: 75} {
+		s := testSettings()
+		s.Instances, s.InboxPerS = instances, 40
+		homes := map[string]int{}
+		for me := range instances {
+			s.Me = me
+			g, r := newGate(t, s, fleet(20)...)
+			own := 0
+			for _, sv := range g.servers {
+				homes[sv.ID] += int(b2f(sv.home))
+				own += int(b2f(sv.home))
+			}
+			for n := 0; n < 20; n++ {
+				q := newRequest(n, "safe", "rate", uint64(n))
+				g.Request(t0, q, r)
+				if req := g.reqs[q.ID]; req == nil || own > 0 && !req.attempts[0].server.home {
+					t.Fatalf("%d gateways: %v", instances, r.acts)
+				}
+			}
+			for _, sv := range g.servers {
+				sv.listed = !sv.home
+			}
+			r.acts = nil
+			if g.Request(t0, newRequest(100, "safe", "rate", 100), r); own < 20 && r.count("send") != 1 {
+				t.Fatalf("%d gateways: none left but others': %v", instances, r.acts)
+			}
+		}
+		for id, n := range homes {
+			if n != want {
+				t.Errorf("%d gateways: %s has %d homes, want %d", instances, id, n, want)
+			}
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -25,6 +26,7 @@
 	down     bool          // the latest news is that it takes no connection
 	bad      bool          // or that its last answer was an error
 	hash     uint16        // its name in news
+	home     bool          // this gateway is one of those that it is left to
 	credit   float64       // requests that may be sent while cold; below 0: not begun
 	credited time.Duration
 	listed   bool
@@ -349,6 +351,21 @@
 	}
 }
 
+// isHome tells whether this gateway is among the first homes of a server, by the hashes of both.
+func (g *Gateway) isHome(id string, homes int) bool {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	key, before := h.Sum64(), 0
+	rank := func(i int) uint64 {
+		x := (key + uint64(i+1)*0x9e3779b97f4a7c15) * 0xd6e8feb86659fd93
+		return (x ^ x>>32) * 0xd6e8feb86659fd93
+	}
+	for i, mine := 0, rank(g.set.Me); i < g.set.Instances; i++ {
+		before += int(b2f(rank(i) < mine))
+	}
+	return before < homes
+}
+
 // holds takes in how many requests the server holds.
 func (s *server) holds(n float64, at time.Duration) {
 	s.load, s.others, s.loadAt, s.down, s.bad = n, math.Max(n-float64(s.out), 0), at, false, false
