--- a/choice/choice.go
+++ b/choice/choice.go
@@ -62,7 +62,7 @@
 	silentAsks   = 3                      // asks without an answer after which a holder is not waited for
 	memberBurst  = 0.5                    // part of a ceiling's burst that members have without asking
 	memberRate   = 0.15                   // and of its rate
-	homeShare    = 0.25                   // share of the gateways of a large fleet that a server is left to
+	homeShare    = 0.2                    // share of the gateways of a large fleet that a server is left to
 	newsMost     = 12                     // servers told of in a message: a few messages go round them all
 	newsFor      = 4 * time.Second        // news older than that is not told; ages are told in a byte
 	newsHop      = 10 * time.Millisecond  // that a message takes, at most as a rule
