Set servers aside of which no gateway of a large fleet hears any more

Checked: each gateway that lived held 5 to 7 attempts, 3 or 4 of them at silent servers, where they stay until their clients leave; the bound is 5. The throttle refuses nothing, dead holders cost 2%.

At fault: jammed() counts all that is out unless the server is held to be lost, which only probes can tell, and these settings allow none.

A server counts as mute while this gateway has attempts there and for half the longest aim neither it nor any other, by the news, had an answer: a live one answers some gateway many times a second. It is set aside, and what is out there is no jam. News of an answer anywhere ends that.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -966,6 +966,14 @@
 	g.log("server %s is silent: out until it answers a probe", s.ID)
 }
 
+// mute tells whether the server is known to answer nothing: it was silent to probes or, in a large fleet, no
+// gateway has told of an answer since this one's attempts there have been out for as long as counts in a jam.
+// One gateway's silence may be chance, but a server that lives answers some gateway many times a second.
+func (g *Gateway) mute(s *server) bool {
+	return s.lost || g.wide() && s.out > 0 &&
+		(g.now-max(s.seen, s.loadAt)).Seconds() > jamAge*g.longestAim().Seconds()
+}
+
 // alive takes in an answer of any kind.
 func (g *Gateway) alive(s *server) {
 	if s.lost {
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -270,3 +270,32 @@
 		}
 	}
 }
+
+// Attempts at servers of which no gateway hears any more must not read as a jam of all, nor draw others after
+// them; one gateway's silence alone is nothing, since another may have just been answered.
+func TestServersThatNobodyHearsOfAreNoJam(t *testing.T) {
+	g, r := fleetGate(t, 11)
+	for _, s := range g.servers {
+		s.listed = s.ID == "s0"
+	}
+	for n := range 3 {
+		g.Request(t0, newRequest(n, "unsafe", "rate", uint64(n)), r)
+	}
+	for _, s := range g.servers {
+		s.listed = true
+	}
+	if out, servers := g.inReach(); out != 3 || servers != 4 {
+		t.Fatalf("%v out at %v servers", out, servers)
+	}
+	g.now = t0 + time.Second
+	if out, servers := g.inReach(); out != 0 || servers != 3 {
+		t.Errorf("%v out at %v servers after a second of silence, want 0 at 3", out, servers)
+	}
+	if to, all := sendsTo(g, r, t0+time.Second, "s0"); all < 100 || to > 0 {
+		t.Errorf("%d of %d went to a server that nobody hears of", to, all)
+	}
+	g.hearNews(append(binary.BigEndian.AppendUint16(nil, g.byID["s0"].hash), 3, 1))
+	if out, _ := g.inReach(); out != 3 {
+		t.Errorf("%v out after another gateway was answered, want 3", out)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -374,7 +374,7 @@
 // aside tells whether the server is kept for when no other is left. An ejection ends too soon for a fleet that
 // hears of the same server's errors from all its gateways: there it stays aside while its answers are bad.
 func (g *Gateway) aside(s *server) bool {
-	return s.lost || g.now < s.ejected || s.errs > ejectAt && g.wide()
+	return g.now < s.ejected || s.errs > ejectAt && g.wide() || g.mute(s)
 }
 
 // takes tells whether the server is in the list and not draining.
@@ -475,7 +475,7 @@
 func (g *Gateway) inReach() (out, servers float64) {
 	out = float64(g.held)
 	for _, s := range g.servers {
-		if s.lost {
+		if g.mute(s) {
 			out -= float64(s.out)
 		} else if s.takes() {
 			servers += g.warmth(s)
