--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,7 +46,7 @@
 	ejectFirst   = 500 * time.Millisecond // first ejection; doubles up to ejectMost
 	ejectMost    = 8 * time.Second
 	forgetAfter  = 5 * time.Second        // time constant for forgetting what was learned of a server
-	coldShare    = 0.5                    // share of the fall-over budget that is used: work varies
+	coldShare    = 0.7                    // share of the fall-over budget that is used: work varies
 	meanShare    = 0.05                   // share of a new sample in the slow means
 	triedWeight  = 4                      // cost factor of a server that this request has tried
 	crossWeight  = 1.1                    // cost factor of another zone where crossing has a price
@@ -517,7 +517,7 @@
 	case !g.wide():
 		return 0 // its own attempts tell a gateway of a small fleet more, and sooner
 	case s.load < 0:
-		return g.meanLoad
+		return 0 // nobody has had an answer from it: it has just come
 	}
 	return g.meanLoad + (s.others-g.meanLoad)*math.Exp(-(g.now-s.loadAt).Seconds()/newsFades.Seconds())
 }
@@ -635,7 +635,7 @@
 		j := i + g.rng.IntN(len(g.servers)-i)
 		g.servers[i], g.servers[j] = g.servers[j], g.servers[i]
 		s := g.servers[i]
-		if !s.takes() || !g.maySend(r, s) || !g.coldRoom(s, r.class) {
+		if !s.takes() || !g.maySend(r, s) || !g.coldRoom(s) {
 			continue
 		}
 		cost := g.cost(s)
@@ -677,26 +677,34 @@
 }
 
 // coldRoom keeps rule 4: this gateway sends a cold server part of the fall-over multiple of what a warm
-// one is seen to carry, which all together can't exceed the whole. The credit starts by chance: hundreds
-// of gateways with less than one request a window to send must not all send it at once.
-func (g *Gateway) coldRoom(s *server, class int) bool {
+// one is seen to carry, which all together can't exceed the whole.
+func (g *Gateway) coldRoom(s *server) bool {
+	g.saveUp(s)
+	return s.credit < 0 || s.credit >= 1
+}
+
+// saveUp counts the requests that may be sent to a cold server; a warm one has no such bound. It starts by
+// chance: hundreds of gateways with less than one request a window to send must not all send it at once.
+func (g *Gateway) saveUp(s *server) {
 	w := g.warmth(s)
 	if w >= 1 {
 		s.credit = -1
-		return true
+		return
+	}
+	work := 0.0
+	for c := range g.set.Classes {
+		work = math.Max(work, g.work(c))
 	}
-	work := g.work(class)
 	// A server does at least a second's work a second, which counts where no warm one is seen.
 	rate := coldShare * g.set.FallMultiple * w * g.weight(s) *
-		math.Max(g.warmRate, 1/float64(g.set.Instances))
-	most := math.Max(work, rate*g.set.OverloadFor.Seconds()/2)
+		math.Max(g.warmRate, 1/float64(g.set.Instances)) / work
 	if s.credit < 0 {
-		s.credit = most * g.rng.Float64()
+		s.credit = g.rng.Float64()
 	} else {
+		most := math.Max(1, rate*g.set.OverloadFor.Seconds()/2)
 		s.credit = math.Min(s.credit+rate*(g.now-s.credited).Seconds(), most)
 	}
 	s.credited = g.now
-	return s.credit >= work
 }
 
 // work is the work of one request of a class, in seconds of the lowest latency seen.
@@ -778,7 +786,7 @@
 	r.store.out++
 	g.mark(r.store)
 	if g.warmth(s) < 1 {
-		s.credit = math.Max(s.credit-g.work(r.class), 0)
+		s.credit = math.Max(s.credit-1, 0)
 	}
 	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, zone: s.Zone, cell: s.Cell})
 	g.out.Send(r.ID, s.ID, timeout)
@@ -1015,6 +1023,7 @@
 	var weight, load, told float64
 	keep := math.Exp(-probeEvery.Seconds() / forgetAfter.Seconds())
 	for _, s := range g.servers {
+		g.saveUp(s) // from the moment that it is known, not from its first turn
 		if s.takes() && g.warmth(s) >= 1 {
 			weight += g.weight(s)
 		}
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -110,3 +110,34 @@
 		t.Errorf("load %v after news that may be of another server", s.load)
 	}
 }
+
+// Rule 4 lets a fleet send a cold server a share of what it can do from the moment that it is known. A
+// gateway that begins to save up only when it first looks at the server would leave that unused for as long
+// as it takes to earn a request, while the warm servers are crowded.
+func TestColdServerIsUsedAtOnce(t *testing.T) {
+	const gates, known = 300, 4 * time.Second
+	s := testSettings()
+	s.Instances, s.InboxPerS = gates, 40
+	sent, share := 0, 0.0
+	for me := range gates {
+		s.Me = me
+		g, err := New(s, uint64(me))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &recorder{}
+		g.Start(t0, r)
+		g.List(t0, ListFull, []Server{{ID: "cold", Kind: "k", Zone: "a", Boot: t0}}, r)
+		for at := probeEvery; at <= known; at += probeEvery {
+			g.Timer(t0+at, timerProbe, r)
+		}
+		g.Request(t0+known, newRequest(1, "safe", "rate", uint64(me)), r)
+		sent += r.count("send")
+		share = g.warmth(g.servers[0])
+	}
+	work := s.Classes[1].Aim.Seconds() / 4 // the longest of the classes, as long as none is known better
+	most := s.FallMultiple * share * known.Seconds() / work
+	if float64(sent) < s.FallMultiple*s.ColdFrom*known.Seconds()/work/3 || float64(sent) > most {
+		t.Errorf("%d requests to a server known for %v, which may have %.0f", sent, known, most)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -24,7 +24,7 @@
 	loadAt   time.Duration // when that was told
 	down     bool          // the latest news is that it takes no connection
 	hash     uint16        // its name in news
-	credit   float64       // work that may be sent while cold; below 0: not begun
+	credit   float64       // requests that may be sent while cold; below 0: not begun
 	credited time.Duration
 	listed   bool
 	reported time.Duration
