Let tests of the node wait for what they rest on, and bound every wait

Cause: TestReloadMovesTheWatch sent SIGHUP before the watch of the first agent had reached it where cores were busy; that agent was then never left, and the test waited for it until the limit of 600 s (goroutine dump: side_test.go:225, <-left; two of six copies of the test binary on one core). Three tests of time-outs gave an exchange 100 ms by the wall clock and waited without bound for a connection that a late dial never made.

Change: the test waits until the first agent is watched; agents of tests beat, so that a slow machine ends no watch; contexts end when the test says so; every receive is bounded; the scripted agent's count has no race.

--- a/internal/node/front_test.go
+++ b/internal/node/front_test.go
@@ -28,7 +28,7 @@
 	if a.status != 200 || a.body != "body" || a.header.Get("Content-Type") != "a/b" {
 		t.Errorf("answer %+v", a)
 	}
-	r := <-got
+	r := await(t, "the request", got)
 	if want := []string{"POST /book/a%2fb?customer=00000000b4d65521&x=%41+ slot"}; fmt.Sprint(s.requests()) != fmt.Sprint(want) {
 		t.Errorf("%q arrived, want %q", s.requests(), want)
 	}
@@ -214,7 +214,7 @@
 	if a.status != 502 {
 		t.Errorf("status %d, want 502", a.status)
 	}
-	wantClosed(t, <-s.conns)
+	wantClosed(t, await(t, "a connection", s.conns))
 }
 
 // A request that the module sits on gets its answer from the host all the same.
@@ -223,7 +223,7 @@
 	front, fl := idleFront(t, cfg), &flight{id: "t1", answer: make(chan answer, 1)}
 	front.node.flights["t1"] = fl
 	front.node.abandon(fl)
-	if a := <-fl.answer; a.kind != failed {
+	if a := await(t, "an answer", fl.answer); a.kind != failed {
 		t.Errorf("answer %+v", a)
 	}
 	if len(front.node.flights) != 0 {
@@ -243,7 +243,7 @@
 	c.send(request("check", "t1"))
 	eventually(t, "request out", func() bool { return len(s.requests()) == 1 })
 	c.Close()
-	wantClosed(t, <-s.conns)
+	wantClosed(t, await(t, "a connection", s.conns))
 	// The id is free once nothing is held any more.
 	eventually(t, "second request taken", func() bool {
 		again := dial(t, n.addr)
@@ -306,7 +306,9 @@
 	f := idleFront(t, testConfig())
 	logs := &syncBuffer{}
 	f.node.log.SetOutput(logs)
+	f.node.mu.Lock() // its timers fire meanwhile
 	f.node.gw = nil
+	f.node.mu.Unlock()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -14,6 +14,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -264,6 +265,59 @@
 	}
 }
 
+// await receives what another goroutine sends, or fails the test.
+func await[T any](t testing.TB, what string, from <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-from:
+	case <-time.After(patience):
+		t.Fatalf("never: %s", what)
+	}
+	return v
+}
+
+// ending is a context that ends when the test says so, for the reason that the test gives.
+type ending struct {
+	context.Context
+	done chan struct{}
+	err  error // set before done is closed
+}
+
+func newEnding() *ending { return &ending{Context: context.Background(), done: make(chan struct{})} }
+
+func (e *ending) Done() <-chan struct{} { return e.done }
+
+func (e *ending) Err() error {
+	select {
+	case <-e.done:
+		return e.err
+	default:
+		return nil
+	}
+}
+
+func (e *ending) end(err error) {
+	e.err = err
+	close(e.done)
+}
+
+// drained tells whether all that has come on a connection was read.
+func drained(t testing.TB, c net.Conn) bool {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	empty := false
+	if err := raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		empty = err == syscall.EAGAIN
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return empty
+}
+
 func listJSON(generation int, full bool, servers ...Instance) string {
 	type entry map[string]any
 	list := []entry{}
--- a/internal/node/side_test.go
+++ b/internal/node/side_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,20 +24,36 @@
 // discovery is an agent that answers each watch with what script gives for it.
 func discovery(t *testing.T, script func(n int, from string, w io.Writer, ctx context.Context)) netip.AddrPort {
 	t.Helper()
-	calls := 0
+	var calls atomic.Int32
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		calls++
+		n := int(calls.Add(1))
 		if r.URL.Path != "/registry/instances" || r.URL.Query().Get("watch") != "1" {
 			t.Errorf("call of %s", r.URL)
 		}
 		w.WriteHeader(200)
 		w.(http.Flusher).Flush()
-		script(calls, r.URL.Query().Get("from"), flushing{w}, r.Context())
+		script(n, r.URL.Query().Get("from"), flushing{w}, r.Context())
 	}))
-	t.Cleanup(srv.Close)
+	t.Cleanup(func() {
+		srv.CloseClientConnections() // Close waits for the scripts, which wait for their clients
+		srv.Close()
+	})
 	return netip.MustParseAddrPort(srv.Listener.Addr().String())
 }
 
+// beat writes the agent's empty lines until the watch ends, so that it is not taken for dead.
+func beat(ctx context.Context, w io.Writer) {
+	for tick := time.NewTicker(100 * time.Millisecond); ; {
+		select {
+		case <-ctx.Done():
+			tick.Stop()
+			return
+		case <-tick.C:
+			io.WriteString(w, "\n")
+		}
+	}
+}
+
 type flushing struct{ http.ResponseWriter }
 
 func (f flushing) Write(p []byte) (int, error) {
@@ -80,13 +97,13 @@
 		fmt.Fprintf(w, "\n%s\n\n", listJSON(8, true, a))
 		fmt.Fprintf(w, "%s\n", listJSON(9, false))
 	})
-	if l := <-lists; !l.Full || len(l.Servers) != 1 || l.Servers[0] != a {
+	if l := await(t, "a list", lists); !l.Full || len(l.Servers) != 1 || l.Servers[0] != a {
 		t.Errorf("list %+v, want %+v", l, a)
 	}
-	if l := <-lists; l.Full || l.Generation != 9 {
+	if l := await(t, "a list", lists); l.Full || l.Generation != 9 {
 		t.Errorf("second list %+v", l)
 	}
-	if first, second := <-froms, <-froms; first != "7" || second != "9" {
+	if first, second := await(t, "a watch", froms), await(t, "a second watch", froms); first != "7" || second != "9" {
 		t.Errorf("watches from %s and %s, want 7 and 9", first, second)
 	}
 }
@@ -120,8 +137,8 @@
 // heartbeat is taken for that.
 func TestSilentWatchIsReopened(t *testing.T) {
 	_, froms := follow(t, 100*time.Millisecond, func(n int, w io.Writer, ctx context.Context) { <-ctx.Done() })
-	<-froms
-	<-froms
+	await(t, "a watch", froms)
+	await(t, "a second watch", froms)
 }
 
 // What a malformed line said is lost: the whole list is asked for.
@@ -133,7 +150,7 @@
 		}
 		<-ctx.Done()
 	})
-	if first, second := <-froms, <-froms; first != "7" || second != "0" {
+	if first, second := await(t, "a watch", froms), await(t, "a second watch", froms); first != "7" || second != "0" {
 		t.Errorf("watches from %s and %s, want 7 and 0", first, second)
 	}
 }
@@ -153,10 +170,10 @@
 		fmt.Fprintf(w, "%s\n%s\n", text, listJSON(9, false))
 		<-ctx.Done()
 	})
-	if l := <-lists; !l.Full || len(l.Servers) != 1 || l.Servers[0] != good {
+	if l := await(t, "a list", lists); !l.Full || len(l.Servers) != 1 || l.Servers[0] != good {
 		t.Errorf("list %+v, want the good entry", l)
 	}
-	if l := <-lists; l.Generation != 9 { // on the same watch
+	if l := await(t, "a list", lists); l.Generation != 9 { // on the same watch
 		t.Errorf("second list %+v", l)
 	}
 	if len(froms) != 1 {
@@ -191,17 +208,18 @@
 // are its own. A configuration that can't be changes nothing.
 func TestReloadMovesTheWatch(t *testing.T) {
 	old, young := newAppServer(t, say(okAnswer)), newAppServer(t, say(okAnswer))
-	left := make(chan struct{})
+	watched, left := make(chan struct{}, 100), make(chan struct{}, 100)
 	first := discovery(t, func(_ int, _ string, w io.Writer, ctx context.Context) {
 		fmt.Fprintf(w, "%s\n", listJSON(900, true, old.instance("a")))
-		<-ctx.Done()
-		close(left)
+		watched <- struct{}{}
+		beat(ctx, w)
+		left <- struct{}{}
 	})
-	froms := make(chan string, 1)
+	froms := make(chan string, 100)
 	second := discovery(t, func(_ int, from string, w io.Writer, ctx context.Context) {
 		froms <- from
 		fmt.Fprintf(w, "%s\n", listJSON(3, true, young.instance("b")))
-		<-ctx.Done()
+		beat(ctx, w)
 	})
 	cfg := testConfig(old.instance("a"))
 	cfg.Discovery = first
@@ -212,6 +230,7 @@
 		return &moved, <-next
 	}
 	n := run(t, cfg)
+	await(t, "the first agent is watched", watched) // a watch that has not begun can't be left
 	next <- errors.New("discovery: no port")
 	n.hup <- syscall.SIGHUP
 	eventually(t, "bad configuration logged", func() bool { return strings.Contains(n.logs.String(), "discovery: no port") })
@@ -222,8 +241,8 @@
 	}
 	next <- nil
 	n.hup <- syscall.SIGHUP
-	<-left
-	if from := <-froms; from != "0" {
+	await(t, "the first agent is left", left)
+	if from := await(t, "the second agent is watched", froms); from != "0" {
 		t.Errorf("the new agent is watched from version %s of the old one's", from)
 	}
 	c := dial(t, n.addr)
@@ -293,7 +312,7 @@
 			t.Fatal(err)
 		}
 	}
-	if got := <-heard; got != "1 hi" {
+	if got := await(t, "a datagram", heard); got != "1 hi" {
 		t.Errorf("heard %q, want the peer's message alone", got)
 	}
 
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -190,7 +190,11 @@
 
 // Half an answer when the attempt's time ends is an error, not silence.
 func TestHalfAnAnswerIsNoSilence(t *testing.T) {
-	s := newAppServer(t, say("HTTP/1.1 200 OK\r\n"))
+	written := make(chan struct{}, 1)
+	s := newAppServer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		defer func() { written <- struct{}{} }()
+		return say("HTTP/1.1 200 OK\r\n")(c, r, body)
+	})
 	u := testUpstream(s.instance("a"))
 	spare, err := u.take(context.Background(), "a")
 	if err != nil {
@@ -203,10 +207,15 @@
 	}
 	u.open++
 	u.giveBack(other)
-	ctx, cancel := context.WithTimeout(context.Background(), restLimit/2)
-	defer cancel()
-	_, res := u.exchange(ctx, "a", &get)
-	wantResult(t, res, choice.ErrorAnswer)
+	ctx, result := newEnding(), make(chan choice.Result, 1)
+	go func() {
+		_, res := u.exchange(ctx, "a", &get)
+		result <- res
+	}()
+	await(t, "half an answer", written)
+	eventually(t, "it is read", func() bool { return drained(t, other.Conn) })
+	ctx.end(context.DeadlineExceeded)
+	wantResult(t, await(t, "a result", result), choice.ErrorAnswer)
 	if len(u.backends["a"].idle) != 1 {
 		t.Error("the other idle connection is gone")
 	}
@@ -324,8 +333,8 @@
 	}
 	eventually(t, "two requests out", func() bool { return len(s.requests()) == 2 })
 	close(hold)
-	wantResult(t, <-done, choice.OK)
-	wantResult(t, <-done, choice.OK)
+	wantResult(t, await(t, "a result", done), choice.OK)
+	wantResult(t, await(t, "a result", done), choice.OK)
 	idle := u.backends["a"].idle
 	if len(idle) != 2 {
 		t.Fatalf("%d idle connections for two requests at once", len(idle))
@@ -360,13 +369,13 @@
 	exchange(t, u, "a")
 	u.backends["a"].idle[0].idle = time.Now().Add(-u.maxIdle)
 	exchange(t, u, "a")
-	wantClosed(t, <-s.conns)
+	wantClosed(t, await(t, "a connection", s.conns))
 	u.backends["a"].idle[0].idle = time.Now().Add(-u.maxIdle)
 	u.maxIdle = 50 * time.Millisecond // sets the reaper's pace
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go u.reap(ctx)
-	wantClosed(t, <-s.conns)
+	wantClosed(t, await(t, "a connection", s.conns))
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.open != 0 {
@@ -414,26 +423,20 @@
 // Giving up closes the connection before the outcome is known, or the next attempt
 // would be a second copy.
 func TestGivingUpClosesTheConnection(t *testing.T) {
-	for _, c := range []struct {
-		want   choice.Result
-		giveUp func() (context.Context, context.CancelFunc)
-	}{
-		{choice.TimedOut, func() (context.Context, context.CancelFunc) {
-			return context.WithTimeout(context.Background(), 100*time.Millisecond)
-		}},
-		{choice.Cancelled, func() (context.Context, context.CancelFunc) {
-			ctx, cancel := context.WithCancel(context.Background())
-			time.AfterFunc(100*time.Millisecond, cancel)
-			return ctx, cancel
-		}},
+	for want, reason := range map[choice.Result]error{
+		choice.TimedOut: context.DeadlineExceeded, choice.Cancelled: context.Canceled,
 	} {
 		s := newAppServer(t, func(net.Conn, *http.Request, []byte) bool { select {} })
 		u := testUpstream(s.instance("a"))
-		ctx, cancel := c.giveUp()
-		_, res := u.exchange(ctx, "a", &get)
-		cancel()
-		wantResult(t, res, c.want)
-		wantClosed(t, <-s.conns)
+		ctx, result := newEnding(), make(chan choice.Result, 1)
+		go func() {
+			_, res := u.exchange(ctx, "a", &get)
+			result <- res
+		}()
+		eventually(t, "request out", func() bool { return len(s.requests()) == 1 })
+		ctx.end(reason)
+		wantResult(t, await(t, "a result", result), want)
+		wantClosed(t, await(t, "a connection", s.conns))
 		if u.open != 0 {
 			t.Errorf("%d connections counted, none open", u.open)
 		}
@@ -456,12 +459,16 @@
 	}
 	exchange(t, u, "a")
 	u.giveBack(c)
-	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-	defer cancel()
-	_, res := u.exchange(ctx, "a", &message{method: "GET", target: "/check", id: "silent"})
-	wantResult(t, res, choice.TimedOut)
-	wantClosed(t, <-s.conns)
-	wantClosed(t, <-s.conns)
+	ctx, result := newEnding(), make(chan choice.Result, 1)
+	go func() {
+		_, res := u.exchange(ctx, "a", &message{method: "GET", target: "/check", id: "silent"})
+		result <- res
+	}()
+	eventually(t, "request out", func() bool { return len(s.requests()) == 2 })
+	ctx.end(context.DeadlineExceeded)
+	wantResult(t, await(t, "a result", result), choice.TimedOut)
+	wantClosed(t, await(t, "a connection", s.conns))
+	wantClosed(t, await(t, "a second connection", s.conns))
 	if u.open != 0 {
 		t.Errorf("%d connections counted, none open", u.open)
 	}
@@ -500,8 +507,8 @@
 			eventually(t, "second request out", func() bool { return len(s.requests()) == 2 })
 			closeAll(u.update(change(s.instance("a"))))
 			close(hold)
-			wantResult(t, <-done, choice.OK)
-			wantClosed(t, <-s.conns)
+			wantResult(t, await(t, "a result", done), choice.OK)
+			wantClosed(t, await(t, "a connection", s.conns))
 			if u.open != 0 {
 				t.Errorf("%d connections counted, none open", u.open)
 			}
@@ -537,7 +544,7 @@
 	exchange(t, u, "a")
 	_, res := exchange(t, u, "b")
 	wantResult(t, res, choice.OK)
-	wantClosed(t, <-a.conns)
+	wantClosed(t, await(t, "a connection", a.conns))
 	busy, err := u.take(context.Background(), "b")
 	if err != nil {
 		t.Fatal(err)
@@ -644,7 +651,7 @@
 		t.Fatalf("first request: %d", a.status)
 	}
 	c.send(request("check", "held"))
-	<-held
+	await(t, "the held request is out", held)
 	s.ln.Close()
 	if a := other.ask(request("check", "refused")); a.status != http.StatusTooManyRequests {
 		t.Fatalf("with no connection to be had: %d", a.status)
