Add the lab and the opalhook command: real nodes under load and faults, judged

Need: nothing here could start several processes of the program with faults between them and measure what happens.

Change: internal/lab emulates app servers, clients in open loop, list agents and the network from the platform's protocol, runs edge nodes as processes and holds them to its rules from both sides; scenarios are TOML files. cmd/opalhook has lab run, list, report, compare, and up.

--- /dev/null
+++ b/cmd/opalhook/lab.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/term"
+
+	"mulleinmux/internal/lab"
+)
+
+// labCommand is the group of the experiments.
+func labCommand(s *settings) *cobra.Command {
+	c := &cobra.Command{
+		Use:     "lab",
+		Short:   "Run real edge nodes under load and faults, and judge them",
+		Example: "  opalhook lab list\n  opalhook lab run scenarios/killed.toml --seed 7\n  opalhook lab report runs/killed-7",
+	}
+	c.AddCommand(labRun(s), labList(s), labReport(s), labCompare(s))
+	return c
+}
+
+func labRun(s *settings) *cobra.Command {
+	var seed uint64
+	var binary, dir string
+	var runs int
+	c := &cobra.Command{
+		Use:   "run FILE",
+		Short: "Play a scenario and leave its result in a folder",
+		Long: "Play a scenario with real edge nodes.\n\nThe exit code is 0 where no rule was broken, no node crashed and every expectation held,\n" +
+			"3 where not, 1 where the scenario could not be played.",
+		Example: "  opalhook lab run scenarios/zone-cut.toml --seed 7\n  opalhook lab run scenarios/killed.toml --runs 4 --dir runs/new\n" +
+			"  opalhook lab run scenarios/killed.toml --node-binary old/mulleinmux --runs 4 --dir runs/old",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			sc, err := lab.LoadScenario(args[0])
+			if err != nil {
+				return err
+			}
+			if runs < 1 {
+				return fmt.Errorf("--runs: %d is below 1", runs)
+			}
+			if dir == "" {
+				dir = filepath.Join("runs", fmt.Sprintf("%s-%d", sc.Name, seed))
+			}
+			path, err := lab.FindNode(c.Context(), binary, dir)
+			if err != nil {
+				return err
+			}
+			met := true
+			var results []*lab.Result
+			for i := range runs {
+				at := dir
+				if runs > 1 {
+					at = filepath.Join(dir, strconv.FormatUint(seed+uint64(i), 10))
+				}
+				r, err := lab.Run(c.Context(), sc, lab.Options{Seed: seed + uint64(i), Binary: path, Dir: at, Log: s.logger(), Live: live(os.Stderr)})
+				if err != nil {
+					return err
+				}
+				met = met && r.OK()
+				results = append(results, r)
+				if !s.json() {
+					summary(c.OutOrStdout(), r, at)
+				}
+			}
+			if s.json() {
+				if err := writeJSON(c.OutOrStdout(), results); err != nil {
+					return err
+				}
+			}
+			if !met {
+				return errNotMet
+			}
+			return nil
+		},
+	}
+	c.Flags().Uint64Var(&seed, "seed", 1, "of everything that is drawn; further runs take the next ones")
+	c.Flags().IntVar(&runs, "runs", 1, "how many runs, each with a seed of its own")
+	c.Flags().StringVar(&binary, "node-binary", "", "edge node to run (default: built from this repository)")
+	c.Flags().StringVar(&dir, "dir", "", "folder of the run (default: runs/NAME-SEED)")
+	return c
+}
+
+// live returns a function that shows progress: one line that is written over on a terminal,
+// a line a second elsewhere.
+func live(out *os.File) func(lab.Progress) {
+	terminal := term.IsTerminal(int(out.Fd()))
+	return func(p lab.Progress) {
+		text := fmt.Sprintf("%5.0f of %.0f s  asked %5d  served %5d  refused %4d  failed %3d  p50 %4d ms  p99 %5d ms  nodes up %d  rules broken %d",
+			p.At.Seconds(), p.Of.Seconds(), p.Asked, p.Served, p.Refused, p.Failed, p.P50.Milliseconds(), p.P99.Milliseconds(), p.NodesUp, p.Violations)
+		if terminal {
+			fmt.Fprintf(out, "\r\x1b[K%s", text)
+			if p.At >= p.Of-time.Second {
+				fmt.Fprintln(out)
+			}
+			return
+		}
+		fmt.Fprintln(out, text)
+	}
+}
+
+func summary(out io.Writer, r *lab.Result, dir string) {
+	verdict := "passed"
+	if !r.OK() {
+		verdict = "FAILED"
+	}
+	fmt.Fprintf(out, "%s seed %d: %s  goodput %.3f  served %.3f  refused %.3f  p99 %.0f ms  schedule %s\n", r.Scenario, r.Seed, verdict,
+		r.Figures["goodput"], r.Figures["served"], r.Figures["refused"], r.Figures["p99_ms"], r.Digest)
+	if r.Behind {
+		fmt.Fprintf(out, "  the generator fell behind by %.1f ms (99th percentile): this machine is too small for the load\n", r.Figures["lateness_ms"])
+	}
+	for _, v := range r.Violations[:min(len(r.Violations), 5)] {
+		fmt.Fprintln(out, " ", v)
+	}
+	for _, k := range r.Checks {
+		if !k.OK {
+			fmt.Fprintf(out, "  expected %s %s, got %.4g\n", k.Expect.Figure, k.Expect.Bound(), k.Got)
+		}
+	}
+	fmt.Fprintf(out, "  %s\n", dir)
+}
+
+func labList(s *settings) *cobra.Command {
+	return &cobra.Command{
+		Use:     "list [FOLDER]",
+		Short:   "List the scenarios in a folder",
+		Example: "  opalhook lab list\n  opalhook lab list scenarios -o json",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			dir := "scenarios"
+			if len(args) > 0 {
+				dir = args[0]
+			}
+			paths, err := filepath.Glob(filepath.Join(dir, "*.toml"))
+			if err != nil || len(paths) == 0 {
+				return fmt.Errorf("no scenario in %s: name the folder that holds *.toml files", dir)
+			}
+			type row struct {
+				File  string `json:"file"`
+				Name  string `json:"name"`
+				About string `json:"about"`
+				Error string `json:"error,omitempty"`
+			}
+			var rows []row
+			var bad error
+			for _, p := range paths {
+				sc, err := lab.LoadScenario(p)
+				if err != nil {
+					bad = errors.Join(bad, err)
+					rows = append(rows, row{File: p, Error: err.Error()})
+					continue
+				}
+				rows = append(rows, row{File: p, Name: sc.Name, About: sc.About})
+			}
+			if s.json() {
+				return errors.Join(writeJSON(c.OutOrStdout(), rows), bad)
+			}
+			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
+			for _, r := range rows {
+				fmt.Fprintf(w, "%s\t%s\n", r.File, r.About)
+			}
+			return errors.Join(w.Flush(), bad)
+		},
+	}
+}
+
+func labReport(s *settings) *cobra.Command {
+	return &cobra.Command{
+		Use:     "report DIR",
+		Short:   "Write a run's report: Markdown with pictures",
+		Example: "  opalhook lab report runs/zone-cut-7",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if s.json() {
+				r, err := lab.ReadResult(args[0])
+				if err != nil {
+					return err
+				}
+				return writeJSON(c.OutOrStdout(), r)
+			}
+			path, err := lab.Report(args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), path)
+			return nil
+		},
+	}
+}
+
+func labCompare(s *settings) *cobra.Command {
+	return &cobra.Command{
+		Use:     "compare DIR DIR",
+		Short:   "Hold two runs, or two folders of runs, against each other",
+		Long:    "Hold two runs against each other, figure by figure, as the ratio of the second to the first.\nA folder of runs over several seeds shows the spread as well.",
+		Example: "  opalhook lab compare runs/old runs/new",
+		Args:    cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			rows, err := lab.Compare(args[0], args[1])
+			if err != nil {
+				return err
+			}
+			if s.json() {
+				return writeJSON(c.OutOrStdout(), rows)
+			}
+			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
+			fmt.Fprintln(w, "figure\tfirst (least to most)\tsecond (least to most)\tratio\t")
+			for _, r := range rows {
+				note := ""
+				if r.Apart {
+					note = "apart"
+				}
+				fmt.Fprintf(w, "%s\t%.4g (%.4g to %.4g)\t%.4g (%.4g to %.4g)\t%.3f\t%s\n", r.Figure, r.A.Mean, r.A.Min, r.A.Max, r.B.Mean, r.B.Min, r.B.Max, r.Ratio, note)
+			}
+			return w.Flush()
+		},
+	}
+}
+
+func writeJSON(out io.Writer, v any) error {
+	e := json.NewEncoder(out)
+	e.SetIndent("", " ")
+	return e.Encode(v)
+}
--- /dev/null
+++ b/cmd/opalhook/main.go
@@ -0,0 +1,78 @@
+// Command opalhook is the operators' command: it runs the lab and the fleet's own processes.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// errNotMet ends the command with exitNotMet; what was not met has been told.
+var errNotMet = errors.New("not met")
+
+// Exit codes.
+const (
+	exitError  = 1 // it could not be done
+	exitNotMet = 3 // it was done, and a rule or an expectation was not met
+	exitSignal = 130
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := root().ExecuteContext(ctx)
+	switch {
+	case err == nil:
+	case errors.Is(err, errNotMet):
+		os.Exit(exitNotMet)
+	case ctx.Err() != nil:
+		fmt.Fprintln(os.Stderr, "opalhook: ended by a signal")
+		os.Exit(exitSignal)
+	default:
+		fmt.Fprintln(os.Stderr, "opalhook:", err)
+		os.Exit(exitError)
+	}
+}
+
+// settings are the flags that all subcommands share.
+type settings struct {
+	output  string
+	verbose bool
+}
+
+func (s *settings) json() bool { return s.output == "json" }
+
+func (s *settings) logger() *slog.Logger {
+	level := slog.LevelWarn
+	if s.verbose {
+		level = slog.LevelInfo
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+}
+
+func root() *cobra.Command {
+	var s settings
+	c := &cobra.Command{
+		Use:           "opalhook",
+		Short:         "Run, watch and test a fleet of opalhook edge nodes",
+		Example:       "  opalhook up\n  opalhook lab run scenarios/quiet.toml --seed 1",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if s.output != "text" && s.output != "json" {
+				return fmt.Errorf("--output: %q is none of text, json", s.output)
+			}
+			return nil
+		},
+	}
+	c.PersistentFlags().StringVarP(&s.output, "output", "o", "text", "how results are written: text or json")
+	c.PersistentFlags().BoolVarP(&s.verbose, "verbose", "v", false, "log what goes on, not only what goes wrong")
+	c.AddCommand(labCommand(&s), upCommand(&s))
+	return c
+}
--- /dev/null
+++ b/cmd/opalhook/up.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mulleinmux/internal/lab"
+)
+
+// upCommand is the first thing that a newcomer runs.
+func upCommand(s *settings) *cobra.Command {
+	var binary string
+	var last time.Duration
+	c := &cobra.Command{
+		Use:   "up",
+		Short: "Run a small fleet on this machine, with load, until Ctrl-C",
+		Long: "Run a small fleet of edge nodes on loopback addresses, with emulated app servers, list agents and\n" +
+			"clients, and show a line a second. Nothing is left running at the end.",
+		Example: "  opalhook up\n  opalhook up --for 10s",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			sc, err := lab.Demo(last)
+			if err != nil {
+				return err
+			}
+			dir, err := os.MkdirTemp("", "opalhook-up-")
+			if err != nil {
+				return fmt.Errorf("folder of the run: %w", err)
+			}
+			defer os.RemoveAll(dir)
+			fmt.Fprintf(c.ErrOrStderr(), "building the edge node; then %d nodes and %d app servers run until Ctrl-C\n", sc.Fleet.Nodes, sc.Fleet.Servers)
+			path, err := lab.FindNode(c.Context(), binary, dir)
+			if err != nil {
+				return err
+			}
+			r, err := lab.Run(c.Context(), sc, lab.Options{Seed: uint64(time.Now().UnixNano()), Binary: path, Dir: dir, Log: s.logger(), Live: live(os.Stderr)})
+			if errors.Is(err, context.Canceled) {
+				fmt.Fprintln(c.ErrOrStderr(), "\nended: no process is left")
+				return nil
+			}
+			if err != nil {
+				return err
+			}
+			summary(c.OutOrStdout(), r, "the run's files are removed")
+			if !r.OK() {
+				return errNotMet
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&binary, "node-binary", "", "edge node to run (default: built from this repository)")
+	c.Flags().DurationVar(&last, "for", time.Hour, "how long it runs at most")
+	return c
+}
--- /dev/null
+++ b/internal/lab/list.go
@@ -0,0 +1,222 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Entry is an app server in the list, in the form of the platform's protocol.
+type Entry struct {
+	InstanceID  string  `json:"instanceId"`
+	HostPort    string  `json:"hostPort"`
+	Zone        string  `json:"zone"`
+	MachineType string  `json:"machineType"`
+	Cell        int     `json:"cell"`
+	Lifecycle   string  `json:"lifecycle"`
+	Weight      float64 `json:"weight"`
+	StartedAtMs int64   `json:"startedAtMs"`
+
+	number int // of the server
+}
+
+// listMessage is one message of discovery.
+type listMessage struct {
+	Generation uint64  `json:"generation"`
+	Reset      bool    `json:"reset"`
+	Instances  []Entry `json:"instances"`
+}
+
+// beatEvery is the pace of a watch's empty lines.
+const beatEvery = 2 * time.Second
+
+// list is the stand-in for discovery: one versioned list, told late.
+type list struct {
+	w *world
+
+	mu         sync.Mutex
+	generation uint64
+	entries    map[string]Entry // all that are not removed
+	log        []Entry          // log[i] made generation i+1
+	more       chan struct{}    // closed at the next change
+	late       time.Duration    // beyond the scenario's own
+	down       bool
+}
+
+func newList(w *world) *list {
+	return &list{w: w, entries: map[string]Entry{}, more: make(chan struct{})}
+}
+
+// changed takes in an entry, once discovery has noticed.
+func (l *list) changed(e Entry) {
+	l.mu.Lock()
+	late := time.Duration(l.w.s.Fleet.ListLate) + l.late
+	l.mu.Unlock()
+	l.w.after(late, func() { l.put(e) })
+}
+
+// put makes an entry the next generation.
+func (l *list) put(e Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.generation++
+	l.log = append(l.log, e)
+	if e.Lifecycle == "removed" {
+		delete(l.entries, e.InstanceID)
+	} else {
+		l.entries[e.InstanceID] = e
+	}
+	close(l.more)
+	l.more = make(chan struct{})
+}
+
+// since is what has changed after a generation, or the whole list where that is not known,
+// and a channel that is closed at the next change.
+func (l *list) since(from uint64, whole bool) (listMessage, chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := listMessage{Generation: l.generation, Reset: whole || from == 0 || from > l.generation, Instances: []Entry{}}
+	if m.Reset {
+		for _, e := range l.entries {
+			m.Instances = append(m.Instances, e)
+		}
+		return m, l.more
+	}
+	last := map[string]int{}
+	for _, e := range l.log[from:] {
+		if i, seen := last[e.InstanceID]; seen {
+			m.Instances[i] = e
+			continue
+		}
+		last[e.InstanceID] = len(m.Instances)
+		m.Instances = append(m.Instances, e)
+	}
+	return m, l.more
+}
+
+func (l *list) setDown(down bool) {
+	l.mu.Lock()
+	l.down = down
+	l.mu.Unlock()
+}
+
+func (l *list) isDown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.down
+}
+
+// agent is the discovery agent on one node's machine.
+type agent struct {
+	l    *list
+	node int
+	srv  *http.Server
+	addr string
+}
+
+// startAgent opens an agent for a node.
+func startAgent(l *list, node int, addr string) (*agent, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("list agent of node %d: %w", node, err)
+	}
+	a := &agent{l: l, node: node, addr: ln.Addr().String()}
+	a.srv = &http.Server{Handler: a, ReadHeaderTimeout: 5 * time.Second}
+	l.w.work.Go(func() {
+		if err := a.srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			l.w.fail(fmt.Errorf("list agent of node %d: %w", node, err))
+		}
+	})
+	return a, nil
+}
+
+// ServeHTTP answers the list or a watch of it.
+func (a *agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet || r.URL.Path != "/registry/instances" {
+		http.NotFound(w, r)
+		return
+	}
+	if a.l.isDown() {
+		a.quiet(r.Context())
+		return
+	}
+	a.l.w.listCalls.Add(1)
+	if r.URL.Query().Get("watch") == "" {
+		m, _ := a.l.since(0, true)
+		a.write(w, m)
+		return
+	}
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from: a generation is wanted", http.StatusBadRequest)
+		return
+	}
+	rc := http.NewResponseController(w)
+	m, more := a.l.since(from, false)
+	beat := time.NewTicker(beatEvery)
+	defer beat.Stop()
+	for {
+		if a.l.isDown() {
+			a.quiet(r.Context())
+			return
+		}
+		if m.Reset || len(m.Instances) > 0 {
+			if !a.write(w, m) {
+				return
+			}
+			from = m.Generation
+		}
+		if rc.Flush() != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-a.l.w.over:
+			return
+		case <-beat.C:
+			if _, err := w.Write([]byte("\n")); err != nil {
+				return
+			}
+			m = listMessage{}
+		case <-more:
+			m, more = a.l.since(from, false)
+		}
+	}
+}
+
+// quiet is silence on an open connection.
+func (a *agent) quiet(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-a.l.w.over:
+	}
+}
+
+// write sends one message with the addresses that this node must use, and books that the
+// node was told.
+func (a *agent) write(w http.ResponseWriter, m listMessage) bool {
+	m = a.l.w.seenFrom(a.node, m)
+	text, err := json.Marshal(m)
+	if err != nil {
+		a.l.w.fail(fmt.Errorf("list: %w", err))
+		return false
+	}
+	if _, err := w.Write(append(text, '\n')); err != nil {
+		return false
+	}
+	if http.NewResponseController(w).Flush() != nil {
+		return false
+	}
+	a.l.w.told(a.node, m)
+	return true
+}
+
+// close ends the agent and its watches.
+func (a *agent) close() { a.srv.Close() }
--- /dev/null
+++ b/internal/lab/world.go
@@ -0,0 +1,548 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Bounds on what a run waits for. None is a verdict on a healthy machine.
+const (
+	readyWithin = 60 * time.Second // a node is ready, also on a busy machine
+	stopWithin  = 15 * time.Second // a node ends after SIGTERM; then it is killed
+	oldAgentFor = 1500 * time.Millisecond
+	lagTick     = 10 * time.Millisecond
+)
+
+// world is one run: everything that plays in it and the clock.
+type world struct {
+	s      *Scenario
+	d      *Schedule
+	seed   uint64
+	dir    string
+	binary string
+	env    []string
+	log    *slog.Logger
+
+	origin time.Time     // of the monotonic clock
+	begun  atomic.Int64  // nanoseconds from the origin to the start of the schedule, once it has begun
+	over   chan struct{} // closed when the run ends
+	cancel context.CancelCauseFunc
+	ctx    context.Context
+	work   sync.WaitGroup
+
+	ref     *referee
+	list    *list
+	udp     *udpRelay
+	starter *starter
+	block   *block
+	servers []*appServer
+	nodes   []*nodeState
+	relays  map[[2]int]*tcpRelay // by node and server
+	front   *front
+
+	ids *lockedRand
+
+	connections, listCalls, serversFell atomic.Int64
+	crashes                             atomic.Int64
+	lagMu                               sync.Mutex
+	lag                                 time.Duration // longest that the lab itself stood still, of late
+}
+
+// lockedRand draws numbers for many goroutines. What it draws is not part of the schedule.
+type lockedRand struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func (l *lockedRand) Uint32() uint32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rng.Uint32()
+}
+
+func (l *lockedRand) Uint64() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rng.Uint64()
+}
+
+// nodeState is an edge node and its process, if one runs.
+type nodeState struct {
+	number       int
+	name         string
+	listen, peer string
+	agent        *agent
+
+	mu       sync.Mutex
+	proc     *process
+	killedAt time.Duration // last SIGKILL or crash; 0: none
+	cpu      time.Duration // of processes that have ended
+	last     usage
+	peak     int64
+	starved  time.Duration // within the last while, see sample
+	marks    []usage
+}
+
+func newWorld(ctx context.Context, s *Scenario, o Options) *world {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := &world{s: s, d: Draw(s, o.Seed), seed: o.Seed, dir: o.Dir, binary: o.Binary, env: o.Env, log: o.Log, origin: time.Now(), over: make(chan struct{}),
+		ctx: ctx, cancel: cancel, relays: map[[2]int]*tcpRelay{},
+		ids: &lockedRand{rng: random(o.Seed, streamServers)}}
+	w.list = newList(w)
+	w.ref = newReferee(s, w.d)
+	w.ref.slack = w.slack
+	return w
+}
+
+// now is the time since the start of the schedule.
+func (w *world) now() time.Duration { return time.Since(w.origin) - time.Duration(w.begun.Load()) }
+
+// wall is the clock's reading at a time of the run.
+func (w *world) wall(at time.Duration) time.Time {
+	return w.origin.Add(time.Duration(w.begun.Load()) + at)
+}
+
+// fail ends the run: the lab itself can't go on.
+func (w *world) fail(err error) { w.cancel(err) }
+
+// sleep waits; it is false where the run ends first.
+func (w *world) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-w.over:
+		return false
+	}
+}
+
+// after runs f later, unless the run ends first.
+func (w *world) after(d time.Duration, f func()) {
+	if d <= 0 {
+		f()
+		return
+	}
+	time.AfterFunc(d, func() {
+		select {
+		case <-w.over:
+		default:
+			f()
+		}
+	})
+}
+
+// build opens everything that the nodes will meet.
+func (w *world) build() (err error) {
+	f := &w.s.Fleet
+	if w.block, err = claimBlock(); err != nil {
+		return err
+	}
+	if w.udp, err = startUDPRelay(w, w.block.addr(4, 0)); err != nil {
+		return err
+	}
+	for i := range f.Servers {
+		s, err := startServer(w, i, w.block.hostPort(2, i))
+		if err != nil {
+			return err
+		}
+		w.servers = append(w.servers, s)
+		w.list.put(s.entry())
+	}
+	if w.s.relayed() {
+		for n := range f.Nodes {
+			for i, s := range w.servers {
+				r, err := startTCPRelay(w, w.block.addr(5+n/250, n%250)+":0", s.addr, n<<8|i)
+				if err != nil {
+					return err
+				}
+				w.relays[[2]int{n, i}] = r
+				if f.CrossDelay > 0 && f.zoneOf(n) != f.zoneOf(i) {
+					if err := r.set(func(out, back *linkState) {
+						out.Delay, back.Delay = time.Duration(f.CrossDelay), time.Duration(f.CrossDelay)
+					}); err != nil {
+						return err
+					}
+				}
+			}
+		}
+	}
+	w.starter = newStarter()
+	var addrs []string
+	for i := range f.Nodes {
+		n := &nodeState{number: i, name: fmt.Sprintf("n%d", i), listen: w.block.hostPort(1, i), peer: w.block.peerPort(1, i)}
+		if n.agent, err = startAgent(w.list, i, w.block.addr(3, i)+":0"); err != nil {
+			return err
+		}
+		w.nodes = append(w.nodes, n)
+		addrs = append(addrs, n.listen)
+	}
+	w.front = newFront(w, addrs)
+	return nil
+}
+
+// relayed tells whether the links between nodes and servers go through relays.
+func (s *Scenario) relayed() bool {
+	for _, ft := range s.Faults {
+		if faultKinds[ft.Kind].relays {
+			return true
+		}
+	}
+	return s.Fleet.CrossDelay > 0
+}
+
+// descriptors is about how many a run needs in the lab's process.
+func (s *Scenario) descriptors() int {
+	f := &s.Fleet
+	perS := s.Load.Rate * 3
+	n := 200 + f.Nodes*4 + f.Servers*2 + int(perS*s.Load.Deadline.s()/2) + f.Nodes*min(f.Servers, 60)
+	if s.relayed() {
+		n += f.Nodes*f.Servers + 2*f.Nodes*min(f.Servers, 60)
+	}
+	return n
+}
+
+// startNode starts a node's process and waits until it is ready. One that ends before is
+// an error that shows its log.
+func (w *world) startNode(n *nodeState) error {
+	path, err := w.writeConfig(n)
+	if err != nil {
+		return err
+	}
+	p, err := startProcess(w.starter, w.dir, n.name, w.binary, append([]string{"PROXY_CONFIG=" + path}, w.env...))
+	if err != nil {
+		return err
+	}
+	peer, err := netip.ParseAddrPort(n.peer)
+	if err != nil {
+		return fmt.Errorf("%s: %w", n.name, err)
+	}
+	w.udp.join(n.number, peer)
+	n.mu.Lock()
+	n.proc, n.last, n.marks = p, usage{}, nil
+	n.mu.Unlock()
+	w.work.Go(func() {
+		select {
+		case <-w.over:
+			return
+		case <-p.ended:
+		}
+		n.mu.Lock()
+		n.cpu += n.last.cpu
+		n.last = usage{}
+		n.mu.Unlock()
+		if p.crashed() {
+			w.crashes.Add(1)
+			n.mu.Lock()
+			n.killedAt = w.now()
+			n.mu.Unlock()
+			w.log.Error("a node crashed", "node", n.name, "how", p.err, "log", tail(filepath.Join(w.dir, n.name+".log")))
+		}
+	})
+	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for began := time.Now(); ; {
+		resp, err := client.Get("http://" + n.listen + "/health/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-p.ended:
+			if p.wasKilled() {
+				return nil
+			}
+			return fmt.Errorf("%s ended before it was ready: %v\n%s", n.name, p.err, tail(filepath.Join(w.dir, n.name+".log")))
+		case <-w.over:
+			return nil
+		case <-time.After(10 * time.Millisecond):
+		}
+		if time.Since(began) > readyWithin {
+			return fmt.Errorf("%s is not ready after %v\n%s", n.name, readyWithin, tail(filepath.Join(w.dir, n.name+".log")))
+		}
+	}
+}
+
+// startNodes starts all nodes, a few at a time.
+func (w *world) startNodes() error {
+	errs := make([]error, len(w.nodes))
+	var all sync.WaitGroup
+	turn := make(chan struct{}, 8)
+	for i, n := range w.nodes {
+		all.Go(func() {
+			turn <- struct{}{}
+			defer func() { <-turn }()
+			errs[i] = w.startNode(n)
+		})
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+// process is the node's process, nil before the first.
+func (n *nodeState) process() *process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.proc
+}
+
+// alive tells whether the node has lived all the time since then.
+func (w *world) alive(node int, since time.Duration) bool {
+	n := w.nodes[node]
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.killedAt == 0 || n.killedAt < since
+}
+
+// kill ends a node's process with no chance to finish.
+func (w *world) kill(n *nodeState) error {
+	n.mu.Lock()
+	p := n.proc
+	n.killedAt = w.now()
+	n.mu.Unlock()
+	if err := p.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-p.ended
+	return nil
+}
+
+// restart is a planned restart: SIGTERM, and a new process once the old one has ended. One
+// that ignores the signal is killed in the end.
+func (w *world) restart(n *nodeState) error {
+	p := n.process()
+	if err := p.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	w.after(termNotice, func() {
+		f := w.front.nodes[n.number]
+		f.mu.Lock()
+		f.up = false
+		f.mu.Unlock()
+	})
+	select {
+	case <-p.ended:
+	case <-w.over:
+		return nil
+	case <-time.After(time.Duration(w.s.Load.Deadline) + stopWithin):
+		w.log.Warn("a node ignores SIGTERM and is killed", "node", n.name)
+		if err := w.kill(n); err != nil {
+			return err
+		}
+	}
+	return w.startNode(n)
+}
+
+// move gives a node another discovery agent and SIGHUP; the old agent takes no new watch and
+// ends the open ones a little later.
+func (w *world) move(n *nodeState) error {
+	old := n.agent
+	a, err := startAgent(w.list, n.number, w.block.addr(3, n.number)+":0")
+	if err != nil {
+		return err
+	}
+	n.agent = a
+	if _, err := w.writeConfig(n); err != nil {
+		return err
+	}
+	w.after(oldAgentFor, old.close)
+	return n.process().signal(syscall.SIGHUP)
+}
+
+// seenFrom gives a message of the list the addresses at which the node reaches the servers.
+func (w *world) seenFrom(node int, m listMessage) listMessage {
+	if len(w.relays) == 0 {
+		return m
+	}
+	list := append([]Entry(nil), m.Instances...)
+	for i := range list {
+		list[i].HostPort = w.relays[[2]int{node, list[i].number}].addr
+	}
+	m.Instances = list
+	return m
+}
+
+// told books what a node was told.
+func (w *world) told(node int, m listMessage) {
+	now := w.now()
+	listed := map[string]bool{}
+	for _, e := range m.Instances {
+		listed[e.InstanceID] = true
+		w.ref.tell(node, e.InstanceID, e.Lifecycle, now, e.StartedAtMs > 0)
+	}
+	if m.Reset {
+		w.ref.tellMissing(node, listed, now)
+	}
+}
+
+// slack is what the machine did not give: how long the lab stood still and a node had no
+// core, of late. Time limits are widened by it, so that a verdict does not depend on what
+// else the machine does.
+func (w *world) slack(node int) time.Duration {
+	w.lagMu.Lock()
+	lag := w.lag
+	w.lagMu.Unlock()
+	if node < 0 || node >= len(w.nodes) {
+		return lag
+	}
+	n := w.nodes[node]
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return lag + n.starved
+}
+
+// watchLag measures how long the lab stands still. A lag counts for some seconds.
+func (w *world) watchLag() {
+	for w.sleepLag() {
+	}
+}
+
+func (w *world) sleepLag() bool {
+	began := time.Now()
+	if !w.sleep(lagTick) {
+		return false
+	}
+	late := time.Since(began) - lagTick
+	w.lagMu.Lock()
+	defer w.lagMu.Unlock()
+	w.lag -= w.lag / 500 // falls to a third in five seconds
+	w.lag = max(w.lag, late)
+	return true
+}
+
+// sample reads what the nodes use. What a node was starved of counts for some seconds.
+func (w *world) sample() {
+	const kept = 10
+	for _, n := range w.nodes {
+		p := n.process()
+		if p == nil {
+			continue
+		}
+		u := p.usage()
+		if u.memory == 0 {
+			continue
+		}
+		n.mu.Lock()
+		n.last = u
+		n.peak = max(n.peak, u.memory)
+		n.marks = append(n.marks, u)
+		if len(n.marks) > kept {
+			n.marks = n.marks[1:]
+		}
+		n.starved = u.starved - n.marks[0].starved
+		n.mu.Unlock()
+	}
+}
+
+// end stops everything: the run's processes first, then its sockets. It returns when nothing
+// of the run is left.
+func (w *world) end() {
+	select {
+	case <-w.over:
+		return
+	default:
+	}
+	close(w.over)
+	var stops sync.WaitGroup
+	for _, n := range w.nodes {
+		if p := n.process(); p != nil {
+			stops.Go(func() { p.stop(stopWithin) })
+		}
+	}
+	if w.front != nil {
+		w.front.close()
+	}
+	stops.Wait()
+	for _, n := range w.nodes {
+		n.agent.close()
+	}
+	for _, s := range w.servers {
+		s.shut()
+	}
+	for _, r := range w.relays {
+		r.close()
+	}
+	if w.udp != nil {
+		w.udp.close()
+	}
+	w.work.Wait()
+	if w.starter != nil {
+		w.starter.stop()
+	}
+	if w.block != nil {
+		w.block.release()
+	}
+	w.cancel(nil)
+}
+
+// block is a range of loopback addresses that one run has to itself: 127.x.0.0/16, claimed
+// by a listener, so that many runs go side by side with the same ports.
+type block struct {
+	second int
+	claim  net.Listener
+}
+
+// Ports of a block. They lie under the range from which the kernel gives ports out.
+const (
+	claimPort = 18999
+	basePort  = 18080
+	peerPort  = 17946
+	firstNet  = 40
+	lastNet   = 250
+)
+
+// claimBlock takes the first range that no other run has.
+func claimBlock() (*block, error) {
+	var last error
+	for second := firstNet; second <= lastNet; second++ {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", second, claimPort))
+		if err == nil {
+			return &block{second, ln}, nil
+		}
+		last = err
+	}
+	return nil, fmt.Errorf("no range of loopback addresses is free for this run: %w", last)
+}
+
+func (b *block) addr(third, number int) string {
+	return fmt.Sprintf("127.%d.%d.%d", b.second, third, number+1)
+}
+
+// hostPort is the address of a listener; numbers from 250 on take another port.
+func (b *block) hostPort(third, number int) string {
+	return fmt.Sprintf("%s:%d", b.addr(third, number%250), basePort+number/250)
+}
+
+func (b *block) peerPort(third, number int) string {
+	return fmt.Sprintf("%s:%d", b.addr(third, number%250), peerPort+number/250)
+}
+
+func (b *block) release() { b.claim.Close() }
+
+// describe names what a fault does, for logs and pictures.
+func (ft *Fault) describe(e Event) string {
+	var b strings.Builder
+	b.WriteString(ft.Kind)
+	if e.Target >= 0 {
+		fmt.Fprintf(&b, " %d", e.Target)
+	} else if ft.Zone != "" {
+		b.WriteString(" " + ft.Zone)
+	}
+	if e.End {
+		b.WriteString(" ends")
+	}
+	return b.String()
+}
