--- /dev/null
+++ b/internal/lab/real_test.go
@@ -0,0 +1,50 @@
+package lab
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+)
+
+// Two runs of the real edge node, short ones. Rules hold always; that work goes on is waited for.
+func TestRealNodes(t *testing.T) {
+	binary, err := FindNode(t.Context(), "", t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, change := range map[string]func(*Scenario){
+		"killed and stopped": func(s *Scenario) {
+			s.Faults = []Fault{
+				{At: Duration(time.Second), For: Duration(time.Second), Kind: "kill", Share: 0.7},
+				{At: Duration(2500 * ms), Kind: "restart", Count: 1},
+				{At: Duration(3 * time.Second), Kind: "hup", Share: 1},
+			}
+		},
+		"zone cut, servers lost and replaced": func(s *Scenario) {
+			s.Faults = []Fault{
+				{At: Duration(time.Second), For: Duration(1500 * ms), Kind: "cut-zone", Zone: "a"},
+				{At: Duration(2 * time.Second), Kind: "replace", Count: 2},
+				{At: Duration(2 * time.Second), For: Duration(time.Second), Kind: "spoil", Count: 2, Size: 0.3},
+				{At: Duration(3 * time.Second), For: Duration(time.Second), Kind: "lose-zone", Zone: "b"},
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := small(name)
+			s.Duration = Duration(5 * time.Second)
+			s.Fleet.Nodes, s.Fleet.Servers = 3, 9
+			change(s)
+			r, err := Run(t.Context(), s, Options{Seed: 5, Binary: binary, Dir: t.TempDir(), Log: slog.New(slog.DiscardHandler)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(r.Broken) > 0 || r.Figures["crashes"] > 0 {
+				t.Errorf("broken rules %v, %v crashes: %v", r.Broken, r.Figures["crashes"], r.Violations)
+			}
+			if r.Figures["restored_nodes"] != 3 || r.Figures["served"] == 0 {
+				t.Errorf("%v of 3 nodes answer at the end, %v served", r.Figures["restored_nodes"], r.Figures["served"])
+			}
+		})
+	}
+}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -143,7 +143,7 @@
 		return nil, ctx.Err()
 	}
 	w.sample()
-	up := w.answering()
+	up := w.settled()
 	w.end()
 	res = w.result(up)
 	return res, res.write(o.Dir)
@@ -357,6 +357,29 @@
 	return nil
 }
 
+// settled waits until every node that no fault has ended for good takes requests again, for as
+// long as a start may take, and counts those that do.
+func (w *world) settled() (up int) {
+	gone := map[int]bool{}
+	for _, e := range w.d.Faults {
+		if w.s.Faults[e.Fault].Kind == "kill" {
+			gone[e.Target] = !e.End
+		}
+	}
+	want := len(w.nodes)
+	for _, dead := range gone {
+		if dead {
+			want--
+		}
+	}
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); {
+		if up = w.answering(); up >= want || !w.sleep(frontChecks) {
+			break
+		}
+	}
+	return up
+}
+
 // answering counts the nodes that take requests.
 func (w *world) answering() (up int) {
 	for _, n := range w.front.nodes {
