Log by log/slog in the edge node

Need: logs of the fleet's processes are to be structured alike.

Change: the node takes a slog.Logger; what was in the line's text is in attributes. It still imports the standard library and this module alone.

Measured: go test ./internal/node ./cmd/mulleinmux passes; built with GOPROXY=off and an empty module cache.

--- a/cmd/mulleinmux/main.go
+++ b/cmd/mulleinmux/main.go
@@ -3,7 +3,7 @@
 
 import (
 	"context"
-	"log"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime"
@@ -22,14 +22,15 @@
 )
 
 func main() {
-	logger := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)
+	logger := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	// From the first moment: SIGHUP ends a program that does not handle it. One that comes
 	// while another is being served is kept, and the file is read once more.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := node.LoadConfig(os.Getenv)
 	if err != nil {
-		logger.Fatalf("configuration: %v", err)
+		logger.Error("configuration", "err", err)
+		os.Exit(1)
 	}
 	runtime.GOMAXPROCS(1) // the node has one core
 	debug.SetGCPercent(gcPercent)
@@ -39,6 +40,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := node.Run(ctx, cfg, reload, logger); err != nil {
-		logger.Fatal(err)
+		logger.Error("the node ended", "err", err)
+		os.Exit(1)
 	}
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math"
 	"net"
 	"net/http"
@@ -65,7 +66,7 @@
 		IdleTimeout:       idleLimit,
 		MaxHeaderBytes:    16 << 10,
 		ConnContext:       withSlot,
-		ErrorLog:          n.log,
+		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
 	return f
 }
@@ -101,7 +102,7 @@
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer func() {
 		if p := recover(); p != nil {
-			f.node.log.Printf("panic: %v\n%s", p, debug.Stack())
+			f.node.log.Error("panic", "cause", p, "stack", string(debug.Stack()))
 			plain(w, http.StatusInternalServerError, "internal error")
 		}
 	}()
--- a/internal/node/front_test.go
+++ b/internal/node/front_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"io"
 	"io/fs"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -305,7 +305,7 @@
 func TestPanicIsAnswered(t *testing.T) {
 	f := idleFront(t, testConfig())
 	logs := &syncBuffer{}
-	f.node.log.SetOutput(logs)
+	f.node.log = slog.New(slog.NewTextHandler(logs, nil))
 	f.node.mu.Lock() // its timers fire meanwhile
 	f.node.gw = nil
 	f.node.mu.Unlock()
@@ -380,7 +380,7 @@
 // idleFront is the client side of a node that has no goroutines of its own.
 func idleFront(t *testing.T, cfg *Config) *front {
 	t.Helper()
-	n, err := newNode(t.Context(), cfg, log.New(&syncBuffer{}, "", 0))
+	n, err := newNode(t.Context(), cfg, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -7,7 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -142,7 +142,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	r := &running{addr: ln.Addr().String(), stop: stop, done: make(chan error, 1), logs: &syncBuffer{}, hup: make(chan os.Signal, 1)}
-	go func() { r.done <- runOn(ctx, cfg, r.hup, log.New(r.logs, "", 0), ln) }()
+	go func() { r.done <- runOn(ctx, cfg, r.hup, slog.New(slog.NewTextHandler(r.logs, nil)), ln) }()
 	t.Cleanup(func() {
 		stop()
 		select {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,8 +5,7 @@
 
 import (
 	"context"
-	"fmt"
-	"log"
+	"log/slog"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -19,7 +18,7 @@
 // the mutex; what does I/O runs after it is released or in a goroutine of its own.
 type Node struct {
 	cfg   *Config
-	log   *log.Logger
+	log   *slog.Logger
 	start time.Time // the clock reads Unix time at the start plus the monotonic time since
 	ctx   context.Context
 	up    *upstream
@@ -68,7 +67,7 @@
 )
 
 // newNode makes a node whose goroutines end with ctx.
-func newNode(ctx context.Context, cfg *Config, logger *log.Logger) (*Node, error) {
+func newNode(ctx context.Context, cfg *Config, logger *slog.Logger) (*Node, error) {
 	gw, err := choice.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, err
@@ -102,8 +101,8 @@
 func (n *Node) guarded(f func(now time.Duration, out choice.Actions)) (ok bool) {
 	defer func() {
 		if p := recover(); p != nil {
-			text := fmt.Sprintf("panic: %v\n%s", p, debug.Stack())
-			n.after = append(n.after, func() { n.log.Print(text) })
+			stack := string(debug.Stack())
+			n.after = append(n.after, func() { n.log.Error("panic of the module", "cause", p, "stack", stack) })
 		}
 	}()
 	f(n.now(), (*actions)(n))
@@ -245,7 +244,7 @@
 	n := (*Node)(a)
 	fl := n.flights[id]
 	if fl == nil || fl.done {
-		n.logLater("module: send for %s, which is not open", id)
+		n.logLater(slog.LevelError, "the module sends a request that is not open", "id", id)
 		return
 	}
 	until := fl.deadline
@@ -295,15 +294,15 @@
 	n := (*Node)(a)
 	message = append([]byte(nil), message...)
 	if n.peers != nil {
-		n.after = append(n.after, func() { n.peers.tell(peer, message, n.log.Printf) })
+		n.after = append(n.after, func() { n.peers.tell(peer, message, n.log) })
 	}
 }
 
 // Watch has nothing to do: the list is always watched.
 func (a *actions) Watch(bool) {}
 
-func (a *actions) Log(text string) { (*Node)(a).logLater("module: %s", text) }
+func (a *actions) Log(text string) { (*Node)(a).logLater(slog.LevelInfo, "module", "says", text) }
 
-func (n *Node) logLater(format string, args ...any) {
-	n.after = append(n.after, func() { n.log.Printf(format, args...) })
+func (n *Node) logLater(level slog.Level, text string, attrs ...any) {
+	n.after = append(n.after, func() { n.log.Log(n.ctx, level, text, attrs...) })
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -43,12 +44,12 @@
 
 // tell sends a message. A lost one is part of the contract; that messages can't be
 // sent is logged once, and so is that they can again.
-func (p *peers) tell(peer int, message []byte, logf func(format string, args ...any)) {
+func (p *peers) tell(peer int, message []byte, log *slog.Logger) {
 	err := p.send(peer, message)
 	if was := p.mute.Swap(err != nil); err != nil && !was {
-		logf("peers: %v", err)
+		log.Warn("peers: can't send", "err", err)
 	} else if err == nil && was {
-		logf("peers: sending again")
+		log.Info("peers: sending again")
 	}
 }
 
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -143,7 +144,7 @@
 	down   bool          // the latest watch ended and nothing has been heard since
 	pause  backoff
 	apply  func(List)
-	logf   func(format string, args ...any)
+	log    *slog.Logger
 }
 
 // run watches until ctx ends. A watch that breaks, ends or falls silent is opened
@@ -163,7 +164,7 @@
 		}
 		if !r.down { // one line for an outage, however often the watch is tried
 			r.down = true
-			r.logf("discovery: watch ended: %v", err)
+			r.log.Warn("discovery: watch ended", "err", err)
 		}
 		select {
 		case <-ctx.Done():
@@ -204,7 +205,7 @@
 		silence.Reset(r.silent)
 		if r.down {
 			r.down = false
-			r.logf("discovery: watching again")
+			r.log.Info("discovery: watching again", "generation", r.last)
 		}
 		if len(lines.Bytes()) == 0 {
 			heard = true
@@ -218,7 +219,7 @@
 			return false, fmt.Errorf("malformed line: %w", err)
 		}
 		if len(left) > 0 { // one line for each list, however many entries
-			r.logf("discovery: %d entries left out, the first: %v", len(left), left[0])
+			r.log.Warn("discovery: entries left out", "count", len(left), "first", left[0])
 		}
 		r.last = l.Generation
 		r.apply(l)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -13,7 +13,7 @@
 
 // Run runs an edge node until ctx ends, then drains it. At each signal on reload it
 // reads its configuration again.
-func Run(ctx context.Context, cfg *Config, reload <-chan os.Signal, logger *log.Logger) error {
+func Run(ctx context.Context, cfg *Config, reload <-chan os.Signal, logger *slog.Logger) error {
 	ln, err := net.Listen("tcp", cfg.Listen.String())
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -22,7 +22,7 @@
 }
 
 // runOn is Run on a listener that is open.
-func runOn(ctx context.Context, cfg *Config, reload <-chan os.Signal, logger *log.Logger, ln net.Listener) error {
+func runOn(ctx context.Context, cfg *Config, reload <-chan os.Signal, logger *slog.Logger, ln net.Listener) error {
 	defer ln.Close()
 	life, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -39,7 +39,7 @@
 		defer n.peers.conn.Close()
 	}
 	if len(cfg.left) > 0 {
-		logger.Printf("known: %d entries left out, the first: %v", len(cfg.left), cfg.left[0])
+		logger.Warn("known: entries left out", "count", len(cfg.left), "first", cfg.left[0])
 	}
 	n.boot()
 	if n.peers != nil {
@@ -54,7 +54,7 @@
 	failed := make(chan error, 1)
 	side.Go(func() { failed <- f.serve(ln) })
 	f.ready.Store(true)
-	logger.Printf("%s: ready on %s, %d app servers known", cfg.Name, cfg.Listen, len(cfg.Known.Servers))
+	logger.Info("ready", "node", cfg.Name, "listen", cfg.Listen, "servers", len(cfg.Known.Servers))
 	for draining := false; !draining; {
 		select {
 		case err := <-failed:
@@ -65,11 +65,11 @@
 			draining = true
 		}
 	}
-	logger.Printf("%s: draining", cfg.Name)
+	logger.Info("draining", "node", cfg.Name)
 	f.drain()
 	stop()
 	n.close()
-	logger.Printf("%s: drained", cfg.Name)
+	logger.Info("drained", "node", cfg.Name)
 	return nil
 }
 
@@ -85,7 +85,7 @@
 func startWatch(ctx context.Context, n *Node, addr netip.AddrPort, from uint64) *watch {
 	ctx, stop := context.WithCancel(ctx)
 	w := &watch{addr: addr, stop: stop, done: make(chan struct{})}
-	reg := &registry{addr: addr, silent: watchSilent, last: from, apply: n.heard, logf: n.log.Printf,
+	reg := &registry{addr: addr, silent: watchSilent, last: from, apply: n.heard, log: n.log,
 		pause: backoff{fleet: n.cfg.Settings.Instances, rng: rand.New(rand.NewPCG(n.cfg.Seed, from))}}
 	go func() {
 		defer close(w.done)
@@ -106,14 +106,14 @@
 func (w *watch) reload(ctx context.Context, n *Node) *watch {
 	cfg, err := n.cfg.reread()
 	if err != nil {
-		n.log.Printf("reload: the configuration in force stays: %v", err)
+		n.log.Error("reload: the configuration in force stays", "err", err)
 		return w
 	}
 	if cfg.Discovery == w.addr {
-		n.log.Printf("reload: discovery stays at %s", w.addr)
+		n.log.Info("reload: discovery stays", "at", w.addr)
 		return w
 	}
-	n.log.Printf("reload: discovery moves from %s to %s", w.addr, cfg.Discovery)
+	n.log.Info("reload: discovery moves", "from", w.addr, "to", cfg.Discovery)
 	w.end()
 	// Another agent may count its versions in another way.
 	return startWatch(ctx, n, cfg.Discovery, 0)
--- a/internal/node/side_test.go
+++ b/internal/node/side_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -72,7 +73,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	r := &registry{addr: addr, silent: silent, last: 7, apply: func(l List) { lists <- l }, logf: t.Logf,
+	r := &registry{addr: addr, silent: silent, last: 7, apply: func(l List) { lists <- l }, log: slog.New(slog.DiscardHandler),
 		pause: backoff{fleet: 1, rng: rand.New(rand.NewPCG(1, 2))}}
 	go func() {
 		r.run(ctx)
@@ -327,13 +328,13 @@
 			t.Errorf("to %d: %q from %v, error %v", peer, buf[:n], from, err)
 		}
 	}
-	var lines []string
-	logf := func(format string, args ...any) { lines = append(lines, fmt.Sprintf(format, args...)) }
+	var lines syncBuffer
+	log := slog.New(slog.NewTextHandler(&lines, nil))
 	for _, peer := range []int{2, 2, 1, 1} {
-		p.tell(peer, []byte("hello"), logf)
+		p.tell(peer, []byte("hello"), log)
 	}
-	if len(lines) != 2 { // one for each change of state
-		t.Errorf("logged %q", lines)
+	if strings.Count(lines.String(), "\n") != 2 { // one for each change of state
+		t.Errorf("logged %q", lines.String())
 	}
 	if p.send(1, make([]byte, maxMessage+1)) == nil || p.send(2, []byte("hello")) == nil {
 		t.Error("a message too long or to nobody was sent")
