Judge cuts by what is known: lost asks, silent servers, few attempts out, ceilings

What was drawn unasked was let in at the share of asks granted, near 1, since members that pause never ask. 10 to 18% of asks had no answer also with no fault. After the cut stores of holders were full and granted what had been spent. 560 to 750 a second of the dearest plan were refused for 15% of a ceiling's rate being the members' (storeFor).

Change: where nobody is heard, few attempts are no jam and nobody is waited for; a server that let an attempt come to nothing unheard is left for seconds; an ask with no answer goes once more and counts once; units settled and sent unasked go as sums that make up for losses; a holder that hears nobody counts on as before; customers who want more than can be granted go round as news, by which draws are made; members have what the quota leaves of a ceiling.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,12 +24,15 @@
 	batchLeast   = 16                     // samples in a mean that may count as the lowest latency
 	jamShare     = 0.3                    // share of a class's aim that attempts out may take to be answered
 	jamFloor     = 2.0                    // attempts out per server, over all gateways, that the bound leaves
+	jamFew       = 4.0                    // that it leaves a gateway that hears of no other
 	jamSure      = 3.0                    // times the bound that can't be out by chance
 	jamAge       = 0.5                    // share of its aim until which an attempt out counts
+	muteMeans    = 3.0                    // mean latencies of silence after which a server counts as mute
+	hushFor      = 4 * time.Second        // for which one that let an attempt come to nothing is left
+	connectSlow  = 100 * time.Millisecond // a connection refused at once is no silence
 	freshParts   = 20                     // parts of an aim in a step of the wait that fresh tries have
 	freshDown    = 10                     // times that a step down is smaller: the longest tenth counts
 	comeBack     = 4                      // parts of an aim after which a throttled client should try again
-	passShare    = 0.1                    // share of a new ask in the share that a holder grants
 	samplesLeast = 10                     // samples of its own that a gateway goes by alone
 	ownShare     = 0.05                   // share of a probe in the mean over gateways: about two seconds
 	poolShare    = 0.3                    // share of a peer's figures in that mean
@@ -59,10 +62,20 @@
 	tellFastest  = 40 * time.Millisecond  // shortest gap between tells
 	inboxRoom    = 1.3                    // gap between tells as a multiple of what the inbox limit allows
 	askWait      = 100 * time.Millisecond // an answer to an ask is taken for lost then: two hops' time
+	askAgain     = 40 * time.Millisecond  // one that has no answer by then is sent once more
+	drewFor      = time.Second            // in which an answer may come for which nobody waits
+	wantFor      = 3 * time.Second        // time constant of what a customer wants and is granted
+	cutFor       = 5 * time.Second        // over which a store is spent where its holder is not heard
+	deafAfter    = time.Second / 2        // of hearing nobody a holder counts what it would have granted
+	bornMost     = 1 << 14                // lives of stores that a holder tells apart
+	settleLeast  = 2.0                    // units that a holder is told of with no ask, where they count
+	settledMost  = 5e5                    // units that a store settles in one life
+	asksKept     = 8                      // asks that a holder knows when they come again
 	silentAsks   = 3                      // asks without an answer after which a holder is not waited for
-	memberBurst  = 0.5                    // part of a ceiling's burst that members have without asking
-	memberRate   = 0.15                   // and of its rate
 	homeShare    = 0.2                    // share of the gateways of a large fleet that a server is left to
+	hotMost      = 5                      // customers told of in a message
+	hotBelow     = 0.95                   // share of wants granted under which a customer is told of
+	hotFor       = 10 * time.Second       // for which that is believed
 	newsMost     = 12                     // servers told of in a message: a few messages go round them all
 	newsFor      = 4 * time.Second        // news older than that is not told; ages are told in a byte
 	newsHop      = 10 * time.Millisecond  // that a message takes, at most as a rule
@@ -149,18 +162,27 @@
 		g.refuse(q.ID, g.set.Classes[ci].Aim/comeBack)
 		return
 	}
-	if st.wide && now < st.shut && g.set.Plans[pi].OverWorth == 0 {
+	pays := g.set.Plans[pi].OverWorth > 0
+	if st.wide && now < st.shut && !pays {
+		st.shunned += q.Units
 		g.refuse(q.ID, st.shut-now)
 		return
 	}
 	g.reqs[q.ID], g.byNum[r.num] = r, r
 	g.out.SetTimer(r.num<<timerBits|timerEnd, max(r.ends-now, 0))
 	if r.holder = g.holder(st); st.wide && r.holder != g.set.Me {
+		if now < st.shut { // beyond the quota, and may go on so
+			st.shunned += q.Units
+			g.admit(r, false, st.shut-now)
+			return
+		}
 		g.ask(r)
 		return
 	}
+	st.wanted(now, q.Units)
 	in, wait := g.quota(st, q.Units)
 	if in = in && !(late && now < st.crowded); in {
+		st.granted(now, q.Units)
 		g.take(st, q.Units)
 	}
 	g.admit(r, in, wait)
@@ -207,6 +229,11 @@
 	if p.CeilingRate > 0 && !r.granted {
 		st.ceiling -= r.Units
 	}
+	if r.drawn && !g.deaf() {
+		st.settled -= r.Units // its holder learns of it with the next ask
+		r.owed = true
+		g.tellSettled(st, r.holder)
+	}
 	st.opened++
 	g.aro.sent[g.aro.slot()]++
 	g.retries = math.Min(g.retries+retryEarn, retryMost)
@@ -221,6 +248,7 @@
 	p := &g.set.Plans[plan]
 	if st == nil {
 		st = &store{key: key, plan: plan, spread: spread, first: first, at: g.now, pass: 1}
+		st.born = g.rng.Uint64N(bornMost)
 		if st.split = spread; spread > 1 && g.wide() {
 			// As many holders as it takes for their inboxes to hold the asks that can be granted.
 			asks := p.Rate / math.Max(1, meanUnits*g.set.MostUnits)
@@ -236,10 +264,12 @@
 		// one killed before may have spent it, and has filled since. A holder has most of it, for its grants.
 		st.burstPart = 1 / float64(spread)
 		st.ratePart = st.burstPart
-		if st.wide {
+		if st.wide { // what its quota leaves of the ceiling is for members that have no answer
 			held := float64(g.partsHeld(st)) / st.parts
-			st.burstPart = memberBurst*st.burstPart + (1-memberBurst)*held
-			st.ratePart = memberRate*st.ratePart + (1-memberRate)*held
+			burst := 1 - math.Min(p.Burst/math.Max(p.CeilingBurst, 1e-9), 1)
+			rate := 1 - math.Min(p.Rate/math.Max(p.CeilingRate, 1e-9), 1)
+			st.burstPart = burst*st.burstPart + (1-burst)*held
+			st.ratePart = rate*st.ratePart + (1-rate)*held
 		}
 		st.ceiling = math.Min(p.CeilingBurst*st.burstPart,
 			p.CeilingRate*st.ratePart*(g.now-g.started).Seconds())
@@ -362,6 +392,7 @@
 		return
 	}
 	g.inbox++
+	g.misses, g.heardAt = 0, now
 	if message[0] != kindTell {
 		g.heed(from, message)
 		return
@@ -390,21 +421,56 @@
 // fleets; it costs two hops of waiting, and a holder that restarts begins with a full store.
 
 func (g *Gateway) ask(r *request) {
+	if math.Abs(r.store.settled) > settledMost {
+		r.store.settled, r.store.told, r.store.born = 0, 0, g.rng.Uint64N(bornMost) // before it can't be told
+	}
 	g.out.Tell(r.holder, g.encodeAsk(r))
-	r.store.settled -= math.Round(r.store.settled)
-	if g.peers[r.holder].unanswered >= silentAsks {
+	r.store.shunned = 0
+	switch {
+	case g.deaf() || g.peers[r.holder].unanswered >= silentAsks:
 		g.unanswered(r)
-		return
+	case r.again, g.peers[r.holder].unanswered > 0, g.inboxRate > inboxFull*g.set.InboxPerS:
+		// Where inboxes are full, asks that come again would fill them more.
+		r.again = true
+		g.out.SetTimer(r.num<<timerBits|timerAsk, askWait-time.Duration(b2f(r.late))*askAgain)
+	default:
+		g.out.SetTimer(r.num<<timerBits|timerAsk, askAgain)
 	}
-	g.out.SetTimer(r.num<<timerBits|timerAsk, askWait)
 }
 
-// unanswered goes by the share of asks that its holder granted of late, as far as heard. It covers lost
-// messages, holders that are down, stalled or flooded; it harms while that share changes unheard.
+// unanswered goes by the share of its customer's wants that can be granted, as far as its holder has told.
+// It covers lost messages, holders that are down, stalled or flooded, and cuts; it harms while that share
+// changes unheard. What it sends counts at the holder later, unless the holder counts that itself (fillUp).
 func (g *Gateway) unanswered(r *request) {
 	r.drawn = true
 	g.peers[r.holder].unanswered++
-	g.admit(r, g.rng.Float64() < r.store.pass, askWait)
+	g.misses++
+	g.admit(r, g.rng.Float64() < g.passOf(r.store), askWait)
+	g.drew[r.num] = drawn{r.store, r.holder, r.Units, r.owed || len(r.attempts) == 0, g.now}
+}
+
+// passOf is the share of a customer's wants that can be granted, as far as is known: a customer of whom
+// nobody tells is inside its quota.
+func (g *Gateway) passOf(st *store) float64 {
+	if h, known := g.hot[hashKey(st.key)]; known {
+		return h.pass
+	}
+	return 1
+}
+
+// deaf tells whether asks come to nothing whomever they go to: then none is waited for.
+func (g *Gateway) deaf() bool { return g.misses >= silentAsks }
+
+// tooLate takes in a grant of units for which no answer was waited any more: the holder has taken them.
+func (g *Gateway) tooLate(from int, m ask) {
+	d, ok := g.drew[m.num]
+	if !ok || d.holder != from {
+		return
+	}
+	delete(g.drew, m.num)
+	if m.granted && d.back {
+		d.store.settled += d.units
+	}
 }
 
 // heed takes an ask of a member, the answer of a holder, or what a member gives back.
@@ -413,8 +479,9 @@
 	if !ok {
 		return
 	}
-	if m.kind != kindBack {
+	if m.kind == kindAsk || m.kind == kindAnswer {
 		g.aro.mix(poolShare, m.pool)
+		g.hearHot(m.hot)
 		g.hearNews(m.news)
 	}
 	switch m.kind {
@@ -427,11 +494,17 @@
 			return
 		}
 		p := &g.set.Plans[m.plan]
-		st.level = math.Max(math.Min(st.level+m.settled, p.Burst/st.parts), -p.Burst)
+		st.level = st.bound(st.level+st.settle(from, m), p.Burst)
+		if done := st.answered(from, m.num); done != nil {
+			g.out.Tell(from, g.encodeAnswer(m.num, done.granted, done.wait, st.pass))
+			return // the answer was lost
+		}
+		st.wanted(g.now, m.units+m.shunned)
 		in, wait := g.quota(st, m.units)
 		if in = in && (p.CeilingRate <= 0 || st.ceiling >= m.units); in {
 			wait, st.ceiling = 0, st.ceiling-m.units
 			g.take(st, m.units)
+			st.granted(g.now, m.units)
 			if p.Open > 0 {
 				st.leases = append(st.leases, lease{from, m.num, g.now + g.longestAim()})
 			}
@@ -439,20 +512,30 @@
 			// More members ask in vain than the inbox takes: each pauses until it is their turn again.
 			wait = max(wait, fill(float64(st.spread/st.split), askShare*g.set.InboxPerS))
 		}
-		st.pass += passShare * (b2f(in) - st.pass)
+		// A member that hears nothing spends its part of what is there and of what comes within a while.
+		room := math.Max(st.level, 0)/cutFor.Seconds() + p.Rate/st.parts
+		st.pass = math.Min(1, room/math.Max(st.want, 1e-9))
+		g.heat(st.key, st.pass)
+		st.note(askDone{from, m.num, in, wait})
 		g.out.Tell(from, g.encodeAnswer(m.num, in, wait, st.pass))
 	case kindAnswer:
 		g.peers[from].unanswered = 0
 		r := g.byNum[m.num]
-		if r == nil || r.closed || r.holder != from || len(r.attempts) > 0 {
+		if r == nil || r.closed || r.holder != from || r.drawn || len(r.attempts) > 0 {
+			g.tooLate(from, m)
 			return
 		}
-		r.store.pass = m.pass
+		g.heat(r.store.key, m.pass)
 		if !m.granted {
 			r.store.shut = g.now + m.wait
 		}
 		r.granted = m.granted
 		g.admit(r, m.granted, m.wait)
+	case kindSettled:
+		if st := g.stores[m.key]; st != nil && st.wide && g.inSet(from, st.first, st.spread) {
+			g.fillUp(st)
+			st.level = st.bound(st.level+st.settle(from, m), g.set.Plans[st.plan].Burst)
+		}
 	case kindBack:
 		if st := g.stores[m.key]; st != nil && st.wide {
 			g.fillUp(st)
@@ -481,6 +564,26 @@
 	}
 }
 
+// News of customers: those who want more than can be granted. A gateway meets most of its customers every ten
+// seconds or less, too seldom to know that when an ask is lost or its holder cut off.
+
+// heat takes in what can be granted of a customer's wants.
+func (g *Gateway) heat(key uint64, pass float64) {
+	if _, known := g.hot[hashKey(key)]; known || pass < hotBelow {
+		g.hot[hashKey(key)] = hot{pass, g.now}
+	}
+}
+
+// hearHot takes in news of customers, where it is newer.
+func (g *Gateway) hearHot(b []byte) {
+	for ; len(b) >= newsBytes; b = b[newsBytes:] {
+		key, at := binary.BigEndian.Uint16(b), g.now-time.Duration(b[3])*ageUnit-newsHop
+		if was, known := g.hot[key]; !known || at > was.at+ageUnit+newsHop {
+			g.hot[key] = hot{float64(b[2]) / math.MaxUint8, at}
+		}
+	}
+}
+
 // News of servers. A gateway of a large fleet meets a server every few seconds, too seldom to see that it has
 // slowed down or died; all together meet it many times a second. What each learns goes round with the asks
 // and answers that are sent anyway.
@@ -533,14 +636,22 @@
 }
 
 // settle takes in by how many units a request counted less than was guessed. A holder learns that with the
-// next ask of its customer: a message for each answer would fill the inboxes by half as much again.
+// next ask of its customer, since a message for each answer would fill the inboxes by half as much again, or
+// sooner where the quota is nearly used and the sum is large: it would go by a store that is not so.
 func (g *Gateway) settle(r *request, units float64) {
 	g.fillUp(r.store)
-	if r.store.wide && r.holder != g.set.Me {
-		r.store.settled += units
+	if !r.store.wide || r.holder == g.set.Me {
+		g.giveBack(r, units)
 		return
 	}
-	g.giveBack(r, units)
+	r.store.settled += units
+	g.tellSettled(r.store, r.holder)
+}
+
+func (g *Gateway) tellSettled(st *store, holder int) {
+	if g.passOf(st) < 1 && math.Abs(st.settled-st.told) >= settleLeast && !g.deaf() {
+		g.out.Tell(holder, g.encodeSettled(st))
+	}
 }
 
 // Overload control (ARO).
@@ -592,14 +703,21 @@
 	if best > 0 {
 		rank = (1 + c.Worth/g.work(class)/best) / 2
 	}
-	bound := g.okRate * jamShare * rank * c.Aim.Seconds()
+	wait := jamShare * rank * c.Aim.Seconds()
+	bound := g.okRate * wait
 	out, servers := g.inReach()
 	floor := jamFloor * servers / float64(g.set.Instances)
-	if bound < samplesLeast && g.inboxRate > 1 && out < jamSure*math.Max(bound, floor) {
-		// Few attempts are out by chance or not: the mean over the gateways it hears from must say so too.
-		// That comes seconds late: what can't be chance doesn't wait for it, or a burst would come in whole.
-		bound = g.aro.pool[poolOKs] / probeEvery.Seconds() * jamShare * rank * c.Aim.Seconds()
-		return out >= math.Max(bound, floor) && g.aro.pool[poolHeld] >= math.Max(bound, floor)
+	if g.deaf() {
+		floor = math.Max(floor, jamFew)
+	}
+	if bound < samplesLeast && (g.wide() || g.inboxRate > 1) {
+		// Few attempts are out by chance or not: the mean over the gateways it hears from, or over its own
+		// last seconds where it hears none, must say so too. That comes late: what can't be chance doesn't
+		// wait for it, or a burst would come in whole. A gateway that refuses has few answers of its own.
+		least := math.Max(g.aro.pool[poolOKs]/probeEvery.Seconds()*wait, floor)
+		if out < jamSure*math.Max(bound, least) {
+			return out >= least && g.aro.pool[poolHeld] >= least
+		}
 	}
 	return out >= math.Max(bound, floor)
 }
@@ -901,6 +1019,9 @@
 		}
 	case TimedOut, ConnectFailed:
 		g.silent(s, g.now-o.Took)
+		if o.Took >= connectSlow {
+			g.hush(s, g.now-o.Took)
+		}
 	}
 	switch o.Result {
 	case OK:
@@ -967,15 +1088,28 @@
 }
 
 // mute tells whether the server is known to answer nothing: it was silent to probes or, in a large fleet, no
-// gateway has told of an answer since this one's attempts there have been out for as long as counts in a jam.
+// gateway has told of an answer since this one's attempts there have been out for several times the mean.
 // One gateway's silence may be chance, but a server that lives answers some gateway many times a second.
 func (g *Gateway) mute(s *server) bool {
-	return s.lost || g.wide() && s.out > 0 &&
-		(g.now-max(s.seen, s.loadAt)).Seconds() > jamAge*g.longestAim().Seconds()
+	aim := jamAge * g.longestAim().Seconds()
+	wait := math.Min(math.Max(muteMeans*g.meanLatency(), aim/4), aim)
+	return s.lost || g.wide() && (s.hushed && g.now < s.ejected ||
+		s.out > 0 && (g.now-max(s.seen, s.loadAt)).Seconds() > wait)
+}
+
+// hush takes in that an attempt came to nothing at a server of which no gateway has told since it was sent.
+// To try such a server costs a request; news ends that sooner than a try would.
+func (g *Gateway) hush(s *server, sent time.Duration) {
+	if g.wide() && max(s.heard, s.loadAt) <= sent {
+		s.hushed, s.ejected = true, max(s.ejected, g.now+hushFor)
+	}
 }
 
 // alive takes in an answer of any kind.
 func (g *Gateway) alive(s *server) {
+	if s.hushed {
+		s.hushed, s.ejected = false, 0
+	}
 	if s.lost {
 		s.lost, s.ejected, s.strikes = false, 0, 0
 		g.log("server %s answers again", s.ID)
@@ -1039,8 +1173,13 @@
 			g.finish(r)
 		}
 	case timerAsk:
-		if r != nil && !r.closed && len(r.attempts) == 0 {
+		switch {
+		case r == nil || r.closed || r.drawn || len(r.attempts) > 0:
+		case r.again:
 			g.unanswered(r)
+		default:
+			r.again, r.late = true, true // a lost message costs less than a request by chance
+			g.ask(r)
 		}
 	case timerHedge:
 		if r != nil && !r.closed && !r.stream && r.out == 1 && g.aro.rho < pressed {
@@ -1060,6 +1199,16 @@
 		g.log("overload: sending on %.2f of what quotas admit, occupancy %.2f", g.aro.f, g.aro.rho)
 	}
 	g.sweep()
+	for key, h := range g.hot {
+		if g.now-h.at > hotFor {
+			delete(g.hot, key)
+		}
+	}
+	for num, d := range g.drew {
+		if g.now-d.at > drewFor {
+			delete(g.drew, num)
+		}
+	}
 	var weight, load, told float64
 	keep := math.Exp(-probeEvery.Seconds() / forgetAfter.Seconds())
 	for _, s := range g.servers {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -841,9 +841,9 @@
 func TestUnansweredAskGoesByTheShareGranted(t *testing.T) {
 	for _, pass := range []float64{0, 1} {
 		g, r := wideGate(t, 10)
-		g.storeFor(77, g.plan["rate"], 100, 10).pass = pass
+		g.hot[hashKey(77)] = hot{pass, t0}
 		g.Request(t0, wideRequest(1, 77), r)
-		g.Timer(t0+askWait, g.nextNum<<timerBits|timerAsk, r)
+		lapse(g, r, t0)
 		if got := r.count("send"); got != int(pass) || r.count("refuse") != 1-got {
 			t.Errorf("share %v: %v", pass, r.acts)
 		}
@@ -936,7 +936,7 @@
 		t.Fatalf("%d leases", n)
 	}
 	r.tells = nil
-	member.Timer(t0+askWait, member.nextNum<<timerBits|timerAsk, r)
+	lapse(member, r, t0)
 	answer(member, r, t0+askWait+50*ms, 50*ms, OK)
 	for _, m := range r.tells[holder] {
 		h.Peer(t0+200*ms, 10, m, hr)
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"testing"
 	"time"
 )
@@ -300,3 +301,101 @@
 		t.Errorf("%v out after another gateway was answered, want 3", out)
 	}
 }
+
+// lapse lets the time of a gateway's latest ask pass with no answer.
+func lapse(g *Gateway, r *recorder, asked time.Duration) {
+	num := g.nextNum
+	g.Timer(asked+askAgain, num<<timerBits|timerAsk, r)
+	g.Timer(asked+askWait, num<<timerBits|timerAsk, r)
+}
+
+// asks returns a member and the holder of customer 77, with the holder's store.
+func asks(t *testing.T) (member, h *Gateway, r, hr *recorder, st *store, holder int) {
+	member, r = wideGate(t, 10)
+	member.Request(t0, wideRequest(1, 77), r)
+	holder = member.holder(member.stores[77])
+	h, hr = wideGate(t, holder)
+	return member, h, r, hr, h.storeFor(77, h.plan["rate"], 100, 10), holder
+}
+
+// A lost message must cost neither the customer its request nor the quota its units: an ask comes again, and
+// counts once.
+func TestAskComesAgainAndCountsOnce(t *testing.T) {
+	member, h, r, hr, st, holder := asks(t)
+	full := st.level
+	h.Peer(t0, 10, r.tells[holder][0], hr) // the answer is lost
+	member.Timer(t0+askAgain, member.nextNum<<timerBits|timerAsk, r)
+	if len(r.tells[holder]) != 2 {
+		t.Fatalf("%d asks", len(r.tells[holder]))
+	}
+	h.Peer(t0+askAgain, 10, r.tells[holder][1], hr)
+	came := h.set.Plans[st.plan].Rate / st.parts * askAgain.Seconds()
+	if want := full - wideRequest(1, 77).Units + came; math.Abs(st.level-want) > 1e-6 {
+		t.Errorf("level %v of %v, want %v: one request taken", st.level, full, want)
+	}
+	member.Peer(t0+askAgain+5*ms, holder, hr.tells[10][1], r)
+	if r.count("send") != 1 {
+		t.Errorf("%v", r.acts)
+	}
+}
+
+// What went without an answer is in no holder's count. It must come there, once, and not at all where the
+// holder had granted it and only the answer was late.
+func TestUnitsSentUnaskedAreLearnt(t *testing.T) {
+	for name, late := range map[string]bool{"ask lost": false, "answer late": true} {
+		member, h, r, hr, st, holder := asks(t)
+		h.Peer(t0, 10, whispers(member, r, t0), hr) // the holder knows the member
+		st.level, st.at = 10, h.now
+		q := wideRequest(50, 77)
+		q.Units = 5
+		member.Request(t0+ms, q, r)
+		ask := r.tells[holder][len(r.tells[holder])-1]
+		if late {
+			h.Peer(t0+ms, 10, ask, hr)
+		}
+		lapse(member, r, t0+ms)
+		if r.count("send") == 0 {
+			t.Fatalf("%s: not sent: %v", name, r.acts)
+		}
+		if late {
+			member.Peer(t0+askWait+2*ms, holder, hr.tells[10][len(hr.tells[10])-1], r)
+		}
+		for n := range 2 { // learnt once
+			next := wideRequest(60+n, 77)
+			next.Units = 0
+			member.Request(t0+150*ms, next, r)
+			h.Peer(t0+150*ms, 10, r.tells[holder][len(r.tells[holder])-1], hr)
+			if want := 5 + h.set.Plans[st.plan].Rate/st.parts*0.15; math.Abs(st.level-want) > 0.1 {
+				t.Errorf("%s: level %v after ask %d, want %v", name, st.level, n, want)
+			}
+		}
+	}
+}
+
+// In a cut nobody is waited for, and holders must not take members' silence for rest: their stores would be
+// full after it, and grant what was spent meanwhile once more.
+func TestCutNeitherWaitsNorFillsStores(t *testing.T) {
+	member, h, r, hr, st, _ := asks(t)
+	for range silentAsks {
+		member.misses++
+	}
+	r.acts = nil
+	member.Request(t0+ms, wideRequest(2, 77), r)
+	if r.count("send")+r.count("refuse") != 1 {
+		t.Errorf("a deaf gateway waits: %v", r.acts)
+	}
+	now := t0
+	for n := range 40 { // the customer uses all that the holder has, for seconds
+		now += 100 * ms
+		q := wideRequest(100+n, 77)
+		member.misses = 0
+		member.Request(now, q, r)
+		h.Peer(now, 10, r.tells[member.holder(member.stores[77])][len(r.tells[member.holder(member.stores[77])])-1], hr)
+	}
+	before := st.level
+	h.now = now + 5*time.Second
+	h.fillUp(st)
+	if full := h.set.Plans[st.plan].Burst / st.parts; st.level > before+full/4 {
+		t.Errorf("level %v after a cut, %v before, full at %v", st.level, before, full)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -36,6 +36,7 @@
 	heard    time.Duration   // last sign of life: an answer of any kind
 	check    time.Duration   // a connection failed then, and a probe was sent at once to see why; 0: none is out
 	probed   time.Duration   // last probe
+	hushed   bool            // an attempt came to nothing, and nothing was heard of it since
 	lost     bool            // silent to all that was sent of late: out until it is heard
 }
 
@@ -59,6 +60,9 @@
 	out      int
 	inQuota  bool
 	drawn    bool // its ask came to nothing: sent by chance or not at all
+	owed     bool // sent so, for its holder to learn
+	again    bool // not to be asked for again
+	late     bool // asked for twice
 	granted  bool // by its holder, with its part of the ceiling
 	holder   int  // gateway that was asked for its units, or this one
 	settled  bool
@@ -95,7 +99,10 @@
 	ceiling   float64 // units left of this gateway's part of the ceiling
 	since     float64 // units sent since the last tell
 	untold    float64 // units to tell, settlements included
-	settled   float64 // units that true figures leave over or lack, for the holder to learn with the next ask
+	settled   float64 // of this store's life: units that true figures left over or lacked, and those sent unasked
+	told      float64 // of it, what was told last
+	born      uint64  // tells this life of the store from others
+	shunned   float64 // units refused unasked since the last ask
 	out       int     // attempts out
 	opened    int     // tries sent since the last tell
 	zeros     int     // tells that said nothing is out
@@ -104,7 +111,12 @@
 	wide      bool          // its holder is asked; tells would come too late
 	split     int           // gateways over which the room is split
 	parts     float64       // stores that the quota is kept in
-	pass      float64       // share of asks that were granted of late
+	pass      float64       // share of what is wanted that can be granted
+	want      float64       // units wanted a second, averaged
+	grant     float64       // and granted
+	ratesAt   time.Duration // when these were brought up to date
+	members   map[int]life  // of a holder: what each member has settled
+	done      []askDone     // and the asks answered last
 	shut      time.Duration // no ask until then: the holder has refused
 	leases    []lease       // attempts that this holder has granted under an open cap
 	burstPart float64       // this gateway's part of the ceiling's burst
@@ -112,6 +124,90 @@
 	crowded   time.Duration // refused of late: until then, less is spent on a chance
 }
 
+// life is what a member has settled in one life of its store.
+type life struct {
+	born    uint64
+	settled float64
+}
+
+// askDone is an ask that was answered.
+type askDone struct {
+	from    int
+	num     uint64
+	granted bool
+	wait    time.Duration
+}
+
+// drawn is a request that went without its holder's answer.
+type drawn struct {
+	store  *store
+	holder int
+	units  float64
+	back   bool // a grant that comes late is to be given back
+	at     time.Duration
+}
+
+// bound keeps a holder's level between a whole burst owed and its part of one.
+func (st *store) bound(level, burst float64) float64 {
+	return math.Max(math.Min(level, burst/st.parts), -burst)
+}
+
+// hot is what was told of a customer who wants more than can be granted.
+type hot struct {
+	pass float64
+	at   time.Duration
+}
+
+// settle takes in a member's sum and returns what it adds to the store. Sums make up for asks that were lost.
+func (st *store) settle(from int, m ask) (more float64) {
+	was, known := st.members[from]
+	if st.members == nil {
+		st.members = map[int]life{}
+	}
+	st.members[from] = life{m.born, m.settled}
+	switch {
+	case !known:
+		return 0 // what it settled before is in no store of this holder's
+	case was.born != m.born:
+		return m.settled
+	}
+	return m.settled - was.settled
+}
+
+// answered returns the ask if it was answered before, or nil.
+func (st *store) answered(from int, num uint64) *askDone {
+	for i := range st.done {
+		if d := &st.done[i]; d.from == from && d.num == num {
+			return d
+		}
+	}
+	return nil
+}
+
+// note keeps an ask that was answered.
+func (st *store) note(d askDone) {
+	if len(st.done) == asksKept {
+		st.done = append(st.done[:0], st.done[1:]...)
+	}
+	st.done = append(st.done, d)
+}
+
+// wanted and granted count units into the averages.
+func (st *store) wanted(now time.Duration, units float64) {
+	st.age(now)
+	st.want += units / wantFor.Seconds()
+}
+
+func (st *store) granted(now time.Duration, units float64) {
+	st.age(now)
+	st.grant += units / wantFor.Seconds()
+}
+
+func (st *store) age(now time.Duration) {
+	keep := math.Exp(-(now - st.ratesAt).Seconds() / wantFor.Seconds())
+	st.want, st.grant, st.ratesAt = st.want*keep, st.grant*keep, now
+}
+
 // lease is a place under an open cap that a holder gave to a gateway.
 type lease struct {
 	from int
@@ -157,23 +253,27 @@
 	lat     []classLatency
 
 	stores  map[uint64]*store
-	order   []*store // the stores, for sweeping
+	order   []*store         // the stores, for sweeping
+	drew    map[uint64]drawn // by number of the request
+	hot     map[uint16]hot   // by hash of the customer
 	sweepAt int
 	dirty   []*store // stores to tell of
 	peers   []peer
 	tellGap time.Duration
 
 	aro              aro
-	retries          float64 // further attempts saved up
-	inbox, inboxRate float64 // messages taken in since the last probe, and per second
-	held             int     // attempts out
-	oks              float64 // answers since the last probe
-	okRate           float64 // answers per second, averaged
-	okWarm           float64 // work answered by warm servers since the last probe
-	warmRate         float64 // work answered per second and unit of weight of a warm server, by this gateway
-	probeDue         float64 // probes earned by sends
-	topWeight        float64 // the largest of their weights
-	sized            bool    // their weights differ
+	retries          float64       // further attempts saved up
+	misses           int           // asks that came to nothing since anything was heard
+	heardAt          time.Duration // when that was
+	inbox, inboxRate float64       // messages taken in since the last probe, and per second
+	held             int           // attempts out
+	oks              float64       // answers since the last probe
+	okRate           float64       // answers per second, averaged
+	okWarm           float64       // work answered by warm servers since the last probe
+	warmRate         float64       // work answered per second and unit of weight of a warm server, by this gateway
+	probeDue         float64       // probes earned by sends
+	topWeight        float64       // the largest of their weights
+	sized            bool          // their weights differ
 	kindLat          []*kindMean
 	meanLoad         float64 // requests that a server holds, on average over those told of
 	logAt            time.Duration
@@ -208,7 +308,7 @@
 	g := &Gateway{
 		set: s, rng: rand.New(rand.NewPCG(seed, 0x5ea)), byID: map[string]*server{}, byHash: map[uint16]*server{}, reqs: map[string]*request{},
 		byNum: map[uint64]*request{}, class: map[string]int{}, plan: map[string]int{}, kinds: map[string]int{},
-		stores: map[uint64]*store{}, peers: make([]peer, s.Instances), lat: make([]classLatency, len(s.Classes)),
+		stores: map[uint64]*store{}, drew: map[uint64]drawn{}, hot: map[uint16]hot{}, peers: make([]peer, s.Instances), lat: make([]classLatency, len(s.Classes)),
 	}
 	g.set.Classes = append([]Class(nil), s.Classes...)
 	g.set.Plans = append([]Plan(nil), s.Plans...)
@@ -369,6 +469,9 @@
 // holds takes in how many requests the server holds.
 func (s *server) holds(n float64, at time.Duration) {
 	s.load, s.others, s.loadAt, s.down, s.bad = n, math.Max(n-float64(s.out), 0), at, false, false
+	if s.hushed {
+		s.hushed, s.ejected = false, 0
+	}
 }
 
 // aside tells whether the server is kept for when no other is left. An ejection ends too soon for a fleet that
@@ -456,7 +559,13 @@
 	p := &g.set.Plans[st.plan]
 	dt := (g.now - st.at).Seconds()
 	st.at = g.now
-	st.level = math.Min(st.level+p.Rate/st.parts*dt, p.Burst/st.parts)
+	rate := p.Rate / st.parts
+	if len(st.members) > 0 && g.now-g.heardAt > deafAfter {
+		// Members that it does not hear go on as before.
+		rate = math.Max(rate-st.grant, -math.Max(st.level, 0)/math.Max(dt, 1e-9))
+		st.ratesAt = g.now
+	}
+	st.level = math.Min(st.level+rate*dt, p.Burst/st.parts)
 	st.ceiling = math.Min(st.ceiling+p.CeilingRate*st.ratePart*dt, p.CeilingBurst*st.burstPart)
 }
 
@@ -547,12 +656,13 @@
 	return g.holderOf(st, g.set.Me%st.split)
 }
 
-// younger counts the attempts out that were sent less than a share of their class's aim ago.
+// younger counts the attempts out that were sent less than a share of their class's aim ago, but for those at
+// servers known to answer nothing.
 func (g *Gateway) younger(share float64) (n float64) {
 	for _, r := range g.reqs {
 		for i := range r.attempts {
 			a := &r.attempts[i]
-			n += b2f(!a.done && (g.now-a.sent).Seconds() < share*g.set.Classes[r.class].Aim.Seconds())
+			n += b2f(!a.done && !g.mute(a.server) && (g.now-a.sent).Seconds() < share*g.set.Classes[r.class].Aim.Seconds())
 		}
 	}
 	return n
--- a/choice/tells.go
+++ b/choice/tells.go
@@ -1,9 +1,11 @@
 package choice
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/fnv"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -23,6 +25,7 @@
 	kindAsk
 	kindAnswer
 	kindBack
+	kindSettled
 )
 
 // messageMost is the longest message that the wire takes.
@@ -103,7 +106,7 @@
 const waitUnit = 10 * time.Millisecond
 
 // passParts is the number of parts in which it gives the share of asks granted.
-const passParts = 15
+const passParts = 31
 
 // ask is one decoded ask, answer or return.
 type ask struct {
@@ -111,20 +114,34 @@
 	num, key            uint64
 	plan, spread, first int
 	units, settled      float64
+	born                uint64
+	shunned             float64
 	granted             bool
 	pass                float64
 	wait                time.Duration
 	pool                [poolSize]float64
-	news                []byte // entries of newsBytes each
+	hot, news           []byte // entries of newsBytes each
 }
 
-// encodeAsk returns an ask: kind, number, customer, code of plan, spread and first, units, units settled.
+// encodeAsk returns an ask: kind, number, customer, code of plan, spread and first, units, units refused unasked,
+// the store's life and the units settled in it.
 func (g *Gateway) encodeAsk(r *request) []byte {
 	msg := binary.AppendUvarint([]byte{kindAsk}, r.num)
 	msg = binary.AppendUvarint(msg, r.store.key)
 	msg = binary.AppendUvarint(msg, g.code(r.store))
 	msg = binary.AppendVarint(msg, int64(math.Round(r.Units)))
-	return g.appendNews(g.appendPool(binary.AppendVarint(msg, int64(math.Round(r.store.settled)))))
+	msg = binary.AppendUvarint(msg, uint64(math.Round(math.Min(r.store.shunned, 1e6))))
+	return g.appendNews(g.appendPool(appendSettled(msg, r.store)))
+}
+
+// encodeSettled returns what is settled in a member's store: kind, number 0, customer, life and sum.
+func (g *Gateway) encodeSettled(st *store) []byte {
+	return appendSettled(binary.AppendUvarint([]byte{kindSettled, 0}, st.key), st)
+}
+
+func appendSettled(msg []byte, st *store) []byte {
+	st.told = math.Round(st.settled)
+	return binary.AppendVarint(binary.AppendUvarint(msg, st.born), int64(st.told))
 }
 
 // encodeAnswer returns an answer: kind, number, share of asks granted with 0 for granted or else 1 + the wait.
@@ -150,7 +167,8 @@
 	case kindAsk:
 		m.key = r.uint()
 		ok = g.decode(r.uint(), &m.plan, &m.spread, &m.first)
-		m.units, m.settled = float64(r.int()), float64(r.int())
+		m.units, m.shunned, m.born = float64(r.int()), float64(min(r.uint(), 1e6)), r.uint()
+		m.settled = float64(r.int())
 		r.bad = r.bad || !ok || m.units < 0
 	case kindAnswer:
 		x := r.uint()
@@ -160,16 +178,26 @@
 		m.wait = time.Duration(min(max(x, 1)-1, 6000)) * waitUnit
 	case kindBack:
 		m.key, m.units = r.uint(), float64(r.int())
+	case kindSettled:
+		m.key, m.born, m.settled = r.uint(), r.uint(), float64(r.int())
 	default:
 		r.bad = true
 	}
+	talks := m.kind == kindAsk || m.kind == kindAnswer
 	for i := range m.pool {
-		if m.kind != kindBack {
+		if talks {
 			m.pool[i] = float64(r.int()) / poolParts
 		}
 	}
-	if m.kind != kindBack && !r.bad {
-		m.news, r.b = r.b, r.b[len(r.b)-len(r.b)%newsBytes:]
+	if talks && !r.bad {
+		n := 1
+		if len(r.b) > 0 {
+			n += int(r.b[0]) * newsBytes
+		}
+		if r.bad = n > len(r.b); !r.bad {
+			m.hot, r.b = r.b[1:n], r.b[n:]
+			m.news, r.b = r.b, r.b[len(r.b)-len(r.b)%newsBytes:]
+		}
 	}
 	return m, !r.bad && len(r.b) == 0
 }
@@ -249,8 +277,28 @@
 	ageUnit   = 20 * time.Millisecond // in which ages are told; a byte holds five seconds
 )
 
-// appendNews adds the latest news of servers, however it was learnt.
+// appendHot adds the latest news of customers: how many, and per customer the hash, the share and its age.
+func (g *Gateway) appendHot(b []byte) []byte {
+	keys := make([]uint16, 0, len(g.hot))
+	for key, h := range g.hot {
+		if g.now-h.at < newsFor {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b uint16) int { return cmp.Or(cmp.Compare(g.hot[b].at, g.hot[a].at), cmp.Compare(a, b)) })
+	keys = keys[:min(len(keys), hotMost)]
+	b = append(b, byte(len(keys)))
+	for _, key := range keys {
+		h := g.hot[key]
+		b = binary.BigEndian.AppendUint16(b, key)
+		b = append(b, byte(math.Round(h.pass*math.MaxUint8)), byte((g.now-h.at+ageUnit-1)/ageUnit))
+	}
+	return b
+}
+
+// appendNews adds the latest news of customers and of servers, however it was learnt.
 func (g *Gateway) appendNews(b []byte) []byte {
+	b = g.appendHot(b)
 	for _, s := range g.freshest(newsMost) {
 		load := byte(math.Min(math.Max(math.Round(s.load), 0), newsBad-2))
 		switch {
@@ -265,6 +313,12 @@
 	return b
 }
 
+// hashKey names a customer in few bytes. One that shares them with a hot one is taken for it while asks are lost.
+func hashKey(key uint64) uint16 {
+	x := (key + 1) * 0x9e3779b97f4a7c15
+	return uint16(x >> 48)
+}
+
 // hash names a server in few bytes. Two that share one are left out of the news.
 func hash(id string) uint16 {
 	h := fnv.New32a()
