--- a/cmd/opalhook/lab.go
+++ b/cmd/opalhook/lab.go
@@ -30,7 +30,7 @@
 
 func labRun(s *settings) *cobra.Command {
 	var seed uint64
-	var binary, dir string
+	var binary, dir, metrics string
 	var runs int
 	c := &cobra.Command{
 		Use:   "run FILE",
@@ -62,7 +62,7 @@
 				if runs > 1 {
 					at = filepath.Join(dir, strconv.FormatUint(seed+uint64(i), 10))
 				}
-				r, err := lab.Run(c.Context(), sc, lab.Options{Seed: seed + uint64(i), Binary: path, Dir: at, Log: s.logger(), Live: live(os.Stderr)})
+				r, err := lab.Run(c.Context(), sc, lab.Options{Seed: seed + uint64(i), Binary: path, Dir: at, Log: s.logger(), Metrics: metrics, Live: live(os.Stderr)})
 				if err != nil {
 					return err
 				}
@@ -85,6 +85,7 @@
 	}
 	c.Flags().Uint64Var(&seed, "seed", 1, "of everything that is drawn; further runs take the next ones")
 	c.Flags().IntVar(&runs, "runs", 1, "how many runs, each with a seed of its own")
+	c.Flags().StringVar(&metrics, "metrics", "", "loopback address at which Prometheus finds the run, such as 127.0.0.1:9911")
 	c.Flags().StringVar(&binary, "node-binary", "", "edge node to run (default: built from this repository)")
 	c.Flags().StringVar(&dir, "dir", "", "folder of the run (default: runs/NAME-SEED)")
 	return c
--- a/internal/lab/core_test.go
+++ b/internal/lab/core_test.go
@@ -143,6 +143,8 @@
 		{head + "[[fault]]\nat = \"1s\"\nkind = \"lose-zone\"\nzone = \"q\"\n", "x.toml:6: fault[0].zone: \"q\" is none of a, b, c"},
 		{head + "[[fault]]\nat = \"9s\"\nkind = \"kill\"\n", "x.toml:4: fault[0].at: 9s is after the run's end"},
 		{head + "[[fault]]\nat = \"1s\"\nkind = \"slow\"\n", "x.toml:5: fault[0].kind: slow wants a size"},
+		{head + "[[fault]]\nat = \"1s\"\nkind = \"link\"\nfrom = \"node:9\"\nto = \"agent\"\n", "x.toml:6: fault[0].from: \"node:9\" is none of"},
+		{head + "[[fault]]\nat = \"1s\"\nkind = \"link\"\nfrom = \"nodes\"\nto = \"servers\"\ndoes = \"sing\"\n", "x.toml:8: fault[0].does: \"sing\" is none of silence"},
 		{head + "[[expect]]\nfigure = \"luck\"\nmin = 1\n", "x.toml:4: expect[0].figure: \"luck\" is none of"},
 		{head + "[[expect]]\nfigure = \"goodput\"\n", "min or max is wanted"},
 		{"duration = \"5s\"\n", "x.toml: name: is empty"},
--- a/internal/lab/real_test.go
+++ b/internal/lab/real_test.go
@@ -18,12 +18,17 @@
 				{At: Duration(time.Second), For: Duration(time.Second), Kind: "kill", Share: 0.7},
 				{At: Duration(2500 * ms), Kind: "restart", Count: 1},
 				{At: Duration(3 * time.Second), Kind: "hup", Share: 1},
+				{At: Duration(3 * time.Second), For: Duration(500 * ms), Kind: "stall", Count: 1},
 			}
 		},
 		"zone cut, servers lost and replaced": func(s *Scenario) {
 			s.Faults = []Fault{
 				{At: Duration(time.Second), For: Duration(1500 * ms), Kind: "cut-zone", Zone: "a"},
 				{At: Duration(2 * time.Second), Kind: "replace", Count: 2},
+				{At: Duration(500 * ms), For: Duration(time.Second), Kind: "link", From: "clients", To: "node:1", Does: "silence"},
+				{At: Duration(3 * time.Second), For: Duration(time.Second), Kind: "link", From: "node:0", To: "servers", Does: "reset"},
+				{At: Duration(3 * time.Second), For: Duration(time.Second), Kind: "link", From: "nodes", To: "nodes", Does: "loss", Size: 0.5},
+				{At: Duration(3 * time.Second), For: Duration(time.Second), Kind: "link", From: "nodes", To: "agent", Does: "silence"},
 				{At: Duration(2 * time.Second), For: Duration(time.Second), Kind: "spoil", Count: 2, Size: 0.3},
 				{At: Duration(3 * time.Second), For: Duration(time.Second), Kind: "lose-zone", Zone: "b"},
 			}
