--- a/cmd/opalhook/lab.go
+++ b/cmd/opalhook/lab.go
@@ -23,6 +23,8 @@
 		Use:     "lab",
 		Short:   "Run real edge nodes under load and faults, and judge them",
 		Example: "  opalhook lab list\n  opalhook lab run scenarios/killed.toml --seed 7\n  opalhook lab report runs/killed-7",
+		Args:    cobra.NoArgs, // or a word that is no subcommand would pass
+		RunE:    func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
 	c.AddCommand(labRun(s), labList(s), labReport(s), labCompare(s))
 	return c
