--- /dev/null
+++ b/internal/registry/core.go
@@ -0,0 +1,476 @@
+// Package registry is the list service: which app servers there are, replicated, durable and
+// versioned, told to watches as the platform's discovery protocol has it.
+//
+// # Rooms
+//
+// The core is pure. [State] is the state machine behind the replicated log: commands in, an
+// [Outcome] out, no clock, no socket, no map order in what it yields. [Leases] is what the
+// leader alone keeps: who renewed when, by the leader's own monotonic clock, and which entries
+// have run out; what it decides goes through the log as a command like any other.
+//
+// # Versions
+//
+// Every command that changes something is one generation. A generation names one state, for
+// ever: it is the epoch times 2^32 plus the changes since the epoch's start. A state that was
+// restored from a backup begins a new epoch, so that it can't name by an old number what it
+// never was. Generations stay below 2^53 and so are exact in any JSON reader.
+//
+// # Incarnations
+//
+// An entry belongs to one incarnation of its instance, a number that grows with each start of
+// it. What an older incarnation says late never touches a newer one: a removed entry leaves a
+// tombstone with its incarnation behind. Every command may be sent again when its answer was
+// lost: done twice, it is done once.
+package registry
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Lifecycles of an entry.
+const (
+	Up       = "up"       // takes work
+	Draining = "draining" // finishes what it has
+	Removed  = "removed"  // gone; among changes only
+)
+
+// Entry is an app server in the form of the platform's protocol.
+type Entry struct {
+	InstanceID  string  `json:"instanceId"`
+	HostPort    string  `json:"hostPort"`
+	Zone        string  `json:"zone"`
+	MachineType string  `json:"machineType"`
+	Cell        int     `json:"cell"`
+	Lifecycle   string  `json:"lifecycle"`
+	Weight      float64 `json:"weight"`
+	StartedAtMs int64   `json:"startedAtMs"` // Unix milliseconds; 0: long ago
+}
+
+// Bounds on what an entry may hold.
+const (
+	mostID      = 128
+	mostName    = 64
+	mostWeight  = 1e6
+	mostCell    = 1 << 30
+	mostStarted = 1 << 52
+	MostLease   = 24 * time.Hour
+	LeastLease  = time.Second
+	MostEntries = 100_000
+)
+
+// Kinds of commands.
+const (
+	Register = "register"
+	Drain    = "drain"
+	Remove   = "remove"
+	Expire   = "expire"
+	Renew    = "renew" // never in the log: the leader books it
+)
+
+// Command is one change to the list.
+type Command struct {
+	Kind        string        `json:"kind"`
+	Entry       Entry         `json:"entry,omitzero"`        // of register
+	ID          string        `json:"id,omitempty"`          // of drain and remove
+	Incarnation uint64        `json:"incarnation,omitempty"` // 0 with drain and remove: whichever is there
+	Lease       time.Duration `json:"lease,omitempty"`       // of register; 0: the entry stays until it is removed
+	Expired     []Owner       `json:"expired,omitempty"`     // of expire
+}
+
+// Owner is an incarnation of an instance.
+type Owner struct {
+	ID          string `json:"id"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Code says how a command came out.
+type Code string
+
+// Codes of outcomes.
+const (
+	Done     Code = "done"     // the list has changed
+	Same     Code = "same"     // the list already was so
+	Stale    Code = "stale"    // a newer incarnation is there or was
+	Missing  Code = "missing"  // no such instance
+	Taken    Code = "taken"    // the address belongs to another instance
+	Conflict Code = "conflict" // the same incarnation was registered otherwise
+	Invalid  Code = "invalid"  // the command can't be
+	TooMany  Code = "too-many" // the list is full
+)
+
+// Outcome is the result of a command.
+type Outcome struct {
+	Code       Code   `json:"code"`
+	Generation uint64 `json:"generation"` // of the list after it
+	Message    string `json:"message,omitempty"`
+}
+
+// record is an entry with its owner.
+type record struct {
+	Entry       Entry         `json:"entry"`
+	Incarnation uint64        `json:"incarnation"`
+	Lease       time.Duration `json:"lease"`
+	Changed     uint64        `json:"changed"` // generation of its last change
+}
+
+// tombstone remembers the incarnation of an entry that is gone.
+type tombstone struct {
+	ID          string `json:"id"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Change is one generation: the entries that it changed.
+type Change struct {
+	Generation uint64  `json:"generation"`
+	Entries    []Entry `json:"entries"`
+}
+
+// Bounds on what a state remembers of the past.
+const (
+	tombstonesKept = 4096
+	changesKept    = 1024
+)
+
+// State is the replicated list. It is not safe for concurrent use.
+type State struct {
+	epoch     uint64
+	count     uint64 // changes in the epoch
+	records   map[string]*record
+	addrs     map[string]string // address to the instance that has it
+	gone      map[string]uint64 // incarnation of removed entries
+	goneOrder []tombstone       // oldest first
+	changes   []Change          // the latest, oldest first
+}
+
+// epochBits is where the epoch begins in a generation.
+const epochBits = 32
+
+// MostEpoch keeps generations below 2^53.
+const MostEpoch = 1<<21 - 1
+
+// NewState returns an empty list in an epoch.
+func NewState(epoch uint64) *State {
+	return &State{epoch: epoch, records: map[string]*record{}, addrs: map[string]string{}, gone: map[string]uint64{}}
+}
+
+// Generation is the version of the list. Only an empty list in epoch 0 has version 0.
+func (s *State) Generation() uint64 { return s.epoch<<epochBits | s.count }
+
+// Epoch is the life that the state is in.
+func (s *State) Epoch() uint64 { return s.epoch }
+
+// Len is the number of entries.
+func (s *State) Len() int { return len(s.records) }
+
+// Apply carries out a command. It is deterministic: two states that were the same are the same
+// after it.
+func (s *State) Apply(c Command) Outcome {
+	switch c.Kind {
+	case Register:
+		return s.register(c)
+	case Drain:
+		return s.drain(c)
+	case Remove:
+		return s.remove(c)
+	case Expire:
+		return s.expire(c)
+	}
+	return s.outcome(Invalid, "kind: %q is none of register, drain, remove, expire", c.Kind)
+}
+
+func (s *State) outcome(code Code, format string, args ...any) Outcome {
+	return Outcome{Code: code, Generation: s.Generation(), Message: fmt.Sprintf(format, args...)}
+}
+
+// commit makes entries the next generation.
+func (s *State) commit(entries ...Entry) Outcome {
+	s.count++
+	g := s.Generation()
+	for _, e := range entries {
+		if r := s.records[e.InstanceID]; r != nil {
+			r.Changed = g
+		}
+	}
+	if len(s.changes) == changesKept {
+		s.changes = append(s.changes[:0], s.changes[1:]...)
+	}
+	s.changes = append(s.changes, Change{g, entries})
+	return Outcome{Code: Done, Generation: g}
+}
+
+func (s *State) register(c Command) Outcome {
+	e := c.Entry
+	if err := CheckRegister(c); err != nil {
+		return s.outcome(Invalid, "%v", err)
+	}
+	if at := s.gone[e.InstanceID]; c.Incarnation <= at {
+		return s.outcome(Stale, "%s: incarnation %d is gone since; a larger one than %d is wanted", e.InstanceID, c.Incarnation, at)
+	}
+	r := s.records[e.InstanceID]
+	if r != nil && c.Incarnation < r.Incarnation {
+		return s.outcome(Stale, "%s: incarnation %d is registered", e.InstanceID, r.Incarnation)
+	}
+	if r != nil && c.Incarnation == r.Incarnation {
+		was := r.Entry
+		was.Lifecycle = e.Lifecycle // a drain since then stays
+		if was == e && r.Lease == c.Lease {
+			return s.outcome(Same, "")
+		}
+		return s.outcome(Conflict, "%s: incarnation %d is registered otherwise; register changes under a larger one", e.InstanceID, c.Incarnation)
+	}
+	if other, taken := s.addrs[e.HostPort]; taken && other != e.InstanceID {
+		return s.outcome(Taken, "hostPort: %s belongs to %s", e.HostPort, other)
+	}
+	if r == nil && len(s.records) >= MostEntries {
+		return s.outcome(TooMany, "the list holds %d entries, the most there can be", MostEntries)
+	}
+	if r != nil {
+		delete(s.addrs, r.Entry.HostPort)
+	}
+	s.records[e.InstanceID] = &record{Entry: e, Incarnation: c.Incarnation, Lease: c.Lease}
+	s.addrs[e.HostPort] = e.InstanceID
+	return s.commit(e)
+}
+
+// owned finds the record that a command is about; ok is false where the outcome says why not.
+func (s *State) owned(c Command) (r *record, o Outcome, ok bool) {
+	r = s.records[c.ID]
+	switch {
+	case r == nil && c.Incarnation > 0 && c.Incarnation <= s.gone[c.ID]:
+		return nil, s.outcome(Same, "%s: gone already", c.ID), false
+	case r == nil:
+		return nil, s.outcome(Missing, "%s: no such instance", c.ID), false
+	case c.Incarnation > 0 && c.Incarnation < r.Incarnation:
+		return nil, s.outcome(Stale, "%s: incarnation %d is registered", c.ID, r.Incarnation), false
+	case c.Incarnation > r.Incarnation:
+		return nil, s.outcome(Missing, "%s: incarnation %d is not registered", c.ID, c.Incarnation), false
+	}
+	return r, Outcome{}, true
+}
+
+func (s *State) drain(c Command) Outcome {
+	r, o, ok := s.owned(c)
+	if !ok {
+		return o
+	}
+	if r.Entry.Lifecycle == Draining {
+		return s.outcome(Same, "")
+	}
+	r.Entry.Lifecycle = Draining
+	return s.commit(r.Entry)
+}
+
+func (s *State) remove(c Command) Outcome {
+	r, o, ok := s.owned(c)
+	if !ok {
+		return o
+	}
+	return s.commit(s.bury(r))
+}
+
+// bury takes a record out of the list and returns the entry that tells of it.
+func (s *State) bury(r *record) Entry {
+	e := r.Entry
+	delete(s.records, e.InstanceID)
+	delete(s.addrs, e.HostPort)
+	s.gone[e.InstanceID] = r.Incarnation
+	s.goneOrder = append(s.goneOrder, tombstone{e.InstanceID, r.Incarnation})
+	for len(s.goneOrder) > tombstonesKept {
+		if old := s.goneOrder[0]; s.gone[old.ID] == old.Incarnation {
+			delete(s.gone, old.ID)
+		}
+		s.goneOrder = s.goneOrder[1:]
+	}
+	e.Lifecycle = Removed
+	return e
+}
+
+// expire removes the entries that have run out, all in one generation. One that has a newer
+// incarnation since, or no lease, stays.
+func (s *State) expire(c Command) Outcome {
+	var out []Entry
+	for _, x := range c.Expired {
+		if r := s.records[x.ID]; r != nil && r.Incarnation == x.Incarnation && r.Lease > 0 {
+			out = append(out, s.bury(r))
+		}
+	}
+	if len(out) == 0 {
+		return s.outcome(Same, "")
+	}
+	return s.commit(out...)
+}
+
+// CheckRegister returns an error that names the field that can't be.
+func CheckRegister(c Command) error {
+	e := c.Entry
+	word := func(field, v string, most int, empty bool) error {
+		if v == "" && !empty {
+			return fmt.Errorf("%s: is empty", field)
+		}
+		if len(v) > most {
+			return fmt.Errorf("%s: %d bytes, %d are the most", field, len(v), most)
+		}
+		for _, b := range []byte(v) {
+			if b <= ' ' || b > '~' || b == '"' || b == '\\' || b == '/' || b == '?' || b == '#' || b == '%' {
+				return fmt.Errorf("%s: holds the byte %q; letters, digits and plain signs are wanted", field, b)
+			}
+		}
+		return nil
+	}
+	if err := errors.Join(word("instanceId", e.InstanceID, mostID, false), word("zone", e.Zone, mostName, true), word("machineType", e.MachineType, mostName, true)); err != nil {
+		return err
+	}
+	if _, err := netip.ParseAddrPort(e.HostPort); err != nil {
+		return fmt.Errorf("hostPort: %q is no address with a port, such as 127.0.0.1:8080", clip(e.HostPort))
+	}
+	switch {
+	case e.Lifecycle != Up:
+		return fmt.Errorf("lifecycle: %q; an instance registers as up", clip(e.Lifecycle))
+	case !(e.Weight >= 0 && e.Weight <= mostWeight):
+		return fmt.Errorf("weight: %v is not from 0 to %v", e.Weight, mostWeight)
+	case e.Cell < 0 || e.Cell > mostCell:
+		return fmt.Errorf("cell: %d is not from 0 to %d", e.Cell, mostCell)
+	case e.StartedAtMs < 0 || e.StartedAtMs > mostStarted:
+		return fmt.Errorf("startedAtMs: %d is no Unix time in milliseconds", e.StartedAtMs)
+	case c.Incarnation == 0 || c.Incarnation > math.MaxInt64:
+		return fmt.Errorf("incarnation: %d; a number from 1 that grows with each start is wanted", c.Incarnation)
+	case c.Lease != 0 && (c.Lease < LeastLease || c.Lease > MostLease):
+		return fmt.Errorf("leaseMs: %v is neither 0 nor from %v to %v", c.Lease, LeastLease, MostLease)
+	}
+	return nil
+}
+
+func clip(s string) string {
+	if len(s) > 40 {
+		return s[:40] + "…"
+	}
+	return s
+}
+
+// List is the whole list, sorted by instance.
+func (s *State) List() []Entry {
+	out := make([]Entry, 0, len(s.records))
+	for _, r := range s.records {
+		out = append(out, r.Entry)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.InstanceID, b.InstanceID) })
+	return out
+}
+
+// Since returns the changes after a generation, oldest first; ok is false where they are not
+// known, or the generation is not of this list: then the whole list is wanted.
+func (s *State) Since(generation uint64) (out []Change, ok bool) {
+	now := s.Generation()
+	if generation == now {
+		return nil, true
+	}
+	if generation > now || generation>>epochBits != s.epoch {
+		return nil, false
+	}
+	first := now - uint64(len(s.changes)) // the generation before the oldest change that is kept
+	if generation < first {
+		return nil, false
+	}
+	return s.changes[generation-first:], true
+}
+
+// Leased lists the entries that have a lease, sorted by instance.
+func (s *State) Leased() []Lease {
+	var out []Lease
+	for _, r := range s.records {
+		if r.Lease > 0 {
+			out = append(out, Lease{Owner{r.Entry.InstanceID, r.Incarnation}, r.Lease})
+		}
+	}
+	slices.SortFunc(out, func(a, b Lease) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Holds tells whether this incarnation is registered with a lease, and for how long it lasts.
+func (s *State) Holds(o Owner) (term time.Duration, code Code) {
+	r := s.records[o.ID]
+	switch {
+	case r == nil && o.Incarnation <= s.gone[o.ID]:
+		return 0, Stale
+	case r == nil || o.Incarnation > r.Incarnation:
+		return 0, Missing
+	case o.Incarnation < r.Incarnation:
+		return 0, Stale
+	}
+	return r.Lease, Done
+}
+
+// image is a state as a snapshot keeps it.
+type image struct {
+	Format  int         `json:"format"`
+	Epoch   uint64      `json:"epoch"`
+	Count   uint64      `json:"count"`
+	Records []record    `json:"records"`
+	Gone    []tombstone `json:"gone"`
+	Changes []Change    `json:"changes"`
+}
+
+// imageFormat is the version of the form; a reader refuses others.
+const imageFormat = 1
+
+// MarshalJSON writes the state in a form that depends on nothing but what it holds.
+func (s *State) MarshalJSON() ([]byte, error) {
+	im := image{Format: imageFormat, Epoch: s.epoch, Count: s.count, Gone: s.goneOrder, Changes: s.changes}
+	for _, e := range s.List() {
+		im.Records = append(im.Records, *s.records[e.InstanceID])
+	}
+	return json.Marshal(im)
+}
+
+// UnmarshalJSON takes the state that MarshalJSON wrote; an error names what can't be.
+func (s *State) UnmarshalJSON(text []byte) error {
+	var im image
+	if err := json.Unmarshal(text, &im); err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
+	switch {
+	case im.Format != imageFormat:
+		return fmt.Errorf("state: format %d; this release reads %d", im.Format, imageFormat)
+	case im.Epoch > MostEpoch || im.Count >= 1<<epochBits:
+		return fmt.Errorf("state: epoch %d or count %d is out of range", im.Epoch, im.Count)
+	}
+	n := NewState(im.Epoch)
+	n.count, n.goneOrder, n.changes = im.Count, im.Gone, im.Changes
+	for i := range im.Records {
+		r := im.Records[i]
+		if n.records[r.Entry.InstanceID] != nil || n.addrs[r.Entry.HostPort] != "" {
+			return fmt.Errorf("state: records[%d]: %s or its address stands twice", i, r.Entry.InstanceID)
+		}
+		n.records[r.Entry.InstanceID], n.addrs[r.Entry.HostPort] = &r, r.Entry.InstanceID
+	}
+	for _, t := range im.Gone {
+		n.gone[t.ID] = max(n.gone[t.ID], t.Incarnation)
+	}
+	*s = *n
+	return nil
+}
+
+// Restored is the state in a new epoch, for a list that begins again from a backup. The epoch
+// must be larger than any that the list has ever been in.
+func (s *State) Restored(epoch uint64) (*State, error) {
+	if epoch <= s.epoch || epoch > MostEpoch {
+		return nil, fmt.Errorf("epoch: %d is not above the backup's %d and up to %d", epoch, s.epoch, MostEpoch)
+	}
+	text, err := s.MarshalJSON()
+	if err != nil {
+		return nil, err
+	}
+	var n State
+	if err := n.UnmarshalJSON(text); err != nil {
+		return nil, err
+	}
+	n.epoch, n.count, n.changes = epoch, 1, nil // 1: the restore itself is a change
+	return &n, nil
+}
