Leave about a dozen servers to each gateway, and begin restarted holders of hot customers empty

A holder that restarts began with a full store and granted a burst once more.

Change: the homes of a server are as many as give a gateway about 12 servers, as it was with 80 gateways and 60 servers; a holder's new store is empty where the ask brings news that the customer is beyond its quota.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -72,7 +72,7 @@
 	settledMost  = 5e5                    // units that a store settles in one life
 	asksKept     = 8                      // asks that a holder knows when they come again
 	silentAsks   = 3                      // asks without an answer after which a holder is not waited for
-	homeShare    = 0.2                    // share of the gateways of a large fleet that a server is left to
+	homeServers  = 12                     // servers that are left to a gateway of a large fleet
 	hotMost      = 5                      // customers told of in a message
 	hotBelow     = 0.95                   // share of wants granted under which a customer is told of
 	hotFor       = 10 * time.Second       // for which that is believed
@@ -116,6 +116,7 @@
 		for _, s := range g.servers {
 			s.listed = false
 		}
+		g.listed = len(entries)
 	}
 	for _, e := range entries {
 		s := g.byID[e.ID]
@@ -258,7 +259,9 @@
 		st.level = math.Min(p.Burst, p.Burst/float64(st.split)+p.Rate*(g.now-g.started).Seconds())
 		if st.parts = 1; st.wide {
 			st.parts = float64(st.split)
-			st.level = p.Burst / st.parts
+			if st.level = p.Burst / st.parts; g.passOf(st) < hotBelow {
+				st.level = 0 // used up, as others tell: one that has restarted would grant it again
+			}
 		}
 		// Rule 5: the parts of a ceiling sum to the whole. Each counts as empty at its gateway's start, since
 		// one killed before may have spent it, and has filled since. A holder has most of it, for its grants.
@@ -763,12 +766,14 @@
 
 // homes is the number of gateways that a server is left to. Connections cost work and time to make, and a
 // server takes only so many: where every gateway goes to every server, each request or two needs a new one.
-// The gateways that share a server are few enough to keep theirs, and meet it often enough to know it.
+// The gateways that share a server are few enough to keep theirs, and meet it often enough to know it: each
+// has about as many servers, however large the fleet.
 func (g *Gateway) homes() int {
 	if !g.wide() {
 		return g.set.Instances
 	}
-	return int(math.Ceil(homeShare * float64(g.set.Instances)))
+	all := float64(g.set.Instances)
+	return int(math.Min(math.Ceil(homeServers*all/math.Max(float64(g.listed), 1)), all))
 }
 
 // pick returns the server with the least expected delay that the request may go to, or nil.
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -242,7 +242,7 @@
 		homes := map[string]int{}
 		for me := range instances {
 			s.Me = me
-			g, r := newGate(t, s, fleet(20)...)
+			g, r := newGate(t, s, fleet(60)...)
 			own := 0
 			for _, sv := range g.servers {
 				homes[sv.ID] += int(b2f(sv.home))
@@ -260,7 +260,7 @@
 				sv.listed = !sv.home
 			}
 			r.acts = nil
-			if g.Request(t0, newRequest(100, "safe", "rate", 100), r); own < 20 && r.count("send") != 1 {
+			if g.Request(t0, newRequest(100, "safe", "rate", 100), r); own < 60 && r.count("send") != 1 {
 				t.Fatalf("%d gateways: none left but others': %v", instances, r.acts)
 			}
 		}
@@ -399,3 +399,18 @@
 		t.Errorf("level %v after a cut, %v before, full at %v", st.level, before, full)
 	}
 }
+
+// A holder that restarts has a full store in its hands. What others tell of the customer says that it is not.
+func TestRestartedHolderGrantsNoSecondBurst(t *testing.T) {
+	for _, pass := range []float64{1, 0.5} {
+		member, r := wideGate(t, 10)
+		member.hot[hashKey(77)] = hot{pass, t0}
+		member.Request(t0, wideRequest(1, 77), r)
+		holder := member.holder(member.stores[77])
+		h, hr := wideGate(t, holder)
+		h.Peer(t0, 10, r.tells[holder][0], hr)
+		if st := h.stores[77]; st.level > 0 != (pass == 1) {
+			t.Errorf("share %v: level %v", pass, st.level)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -242,6 +242,7 @@
 	epoch   uint64
 
 	servers []*server
+	listed  int // servers in the latest whole list
 	byID    map[string]*server
 	byHash  map[uint16]*server // nil for a hash that several share
 	reqs    map[string]*request
