--- a/internal/registry/core.go
+++ b/internal/registry/core.go
@@ -71,7 +71,7 @@
 	Drain    = "drain"
 	Remove   = "remove"
 	Expire   = "expire"
-	Renew    = "renew" // never in the log: the leader books it
+	Load     = "load" // the first command of a list that was restored from a backup
 )
 
 // Command is one change to the list.
@@ -82,6 +82,7 @@
 	Incarnation uint64        `json:"incarnation,omitempty"` // 0 with drain and remove: whichever is there
 	Lease       time.Duration `json:"lease,omitempty"`       // of register; 0: the entry stays until it is removed
 	Expired     []Owner       `json:"expired,omitempty"`     // of expire
+	Image       *State        `json:"image,omitempty"`       // of load
 }
 
 // Owner is an incarnation of an instance.
@@ -181,8 +182,30 @@
 		return s.remove(c)
 	case Expire:
 		return s.expire(c)
+	case Load:
+		return s.load(c)
 	}
-	return s.outcome(Invalid, "kind: %q is none of register, drain, remove, expire", c.Kind)
+	return s.outcome(Invalid, "kind: %q is none of register, drain, remove, expire, load", c.Kind)
+}
+
+// load takes a restored state over, where nothing has been written yet.
+func (s *State) load(c Command) Outcome {
+	switch {
+	case c.Image == nil || c.Image.Epoch() == 0:
+		return s.outcome(Invalid, "image: is missing or in no epoch of its own")
+	case s.Generation() == c.Image.Generation():
+		return s.outcome(Same, "")
+	case s.Generation() != 0:
+		return s.outcome(Conflict, "the list has been written to: a backup is loaded into a new one")
+	}
+	text, err := c.Image.MarshalJSON()
+	if err != nil {
+		return s.outcome(Invalid, "image: %v", err)
+	}
+	if err := s.UnmarshalJSON(text); err != nil {
+		return s.outcome(Invalid, "image: %v", err)
+	}
+	return Outcome{Code: Done, Generation: s.Generation()}
 }
 
 func (s *State) outcome(code Code, format string, args ...any) Outcome {
