Lab: a pace of its own, nodes that give way, customers spread over a share of the fleet

Change: the pace has a thread and a kernel timer of its own, nodes run at niceness 5, lateness is that of the generator alone, up to when a client sets about its request; a scenario may spread customers over a share of the nodes; reports show what came to no node.

--- a/internal/lab/core_test.go
+++ b/internal/lab/core_test.go
@@ -156,6 +156,16 @@
 	}
 }
 
+// A run that needs more descriptors than there can be says how many, before it starts anything.
+func TestDescriptorsAreCountedFirst(t *testing.T) {
+	if err := needDescriptors(1 << 30); err == nil || !strings.Contains(err.Error(), "about 1073741824 descriptors") {
+		t.Errorf("error %v", err)
+	}
+	if err := needDescriptors(100); err != nil {
+		t.Error(err)
+	}
+}
+
 // The scenarios that come with the program can be played.
 func TestScenariosOfTheProgram(t *testing.T) {
 	paths, err := filepath.Glob("../../scenarios/*.toml")
--- a/internal/lab/front.go
+++ b/internal/lab/front.go
@@ -9,8 +9,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -22,6 +24,7 @@
 	frontChecks = 200 * time.Millisecond // between looks at a node that the front holds to be down
 	termNotice  = 300 * time.Millisecond // after SIGTERM new connections still come for so long
 	keepsFor    = 20 * time.Second       // a client's connection is kept idle at most so long
+	longestNap  = 50 * time.Millisecond  // of the pace, which sees the run's end in between
 )
 
 // front is the clients of all nodes and what deals their requests to nodes.
@@ -59,19 +62,34 @@
 // run sends the schedule, each arrival when it is due, and returns when all are over.
 func (f *front) run() {
 	f.w.work.Go(f.watchNodes)
+	// The runtime's timers share their thread with the sockets of thousands of connections and come late
+	// by a millisecond and more under load: the pace has a thread and a kernel timer of its own.
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
 	for i := range f.w.d.Arrivals {
-		if d := f.w.d.Arrivals[i].At - f.w.now(); d > 0 && !f.w.sleep(d) {
+		if !f.until(f.w.d.Arrivals[i].At) {
 			break
 		}
+		f.work.Go(func() { f.play(i) })
+	}
+	f.work.Wait()
+}
+
+// until waits on the calling thread; it is false where the run ends first.
+func (f *front) until(at time.Duration) bool {
+	for {
 		select {
 		case <-f.w.over:
-			f.work.Wait()
-			return
+			return false
 		default:
 		}
-		f.work.Go(func() { f.play(i) })
+		d := at - f.w.now()
+		if d <= 0 {
+			return true
+		}
+		nap := syscall.NsecToTimespec(int64(min(d, longestNap)))
+		syscall.Nanosleep(&nap, nil) // one cut short by a signal is slept anew
 	}
-	f.work.Wait()
 }
 
 // watchNodes admits nodes again that the front holds to be down, once they are ready.
@@ -184,7 +202,7 @@
 	if class.Unsafe {
 		t.body = "order " + t.id
 	}
-	f.w.ref.ask(t)
+	f.w.ref.ask(t, f.w.now())
 	n := f.nodes[t.node]
 	limit := f.w.wall(t.deadline + givesUp + f.w.slack(t.node))
 	for again := false; ; again = true {
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -59,6 +59,9 @@
 	killed bool
 }
 
+// givesWay is the niceness of the nodes.
+const givesWay = 5
+
 // startProcess starts a program with its output in a file; the log of an earlier process of
 // the name is kept and added to.
 func startProcess(st *starter, dir, name, binary string, env []string) (*process, error) {
@@ -75,6 +78,11 @@
 		log.Close()
 		return nil, fmt.Errorf("starting %s: %w", name, err)
 	}
+	// Nodes give way to what plays the world around them, as they would on machines of their own.
+	if err := syscall.Setpriority(syscall.PRIO_PROCESS, cmd.Process.Pid, givesWay); err != nil && !errors.Is(err, syscall.ESRCH) {
+		cmd.Process.Kill()
+		return nil, fmt.Errorf("priority of %s: %w", name, err)
+	}
 	go func() {
 		p.err = cmd.Wait()
 		log.Close()
--- a/internal/lab/referee.go
+++ b/internal/lab/referee.go
@@ -119,7 +119,7 @@
 	Offered  float64 // what one gateway that saw all would let in
 	Unreach  int     // tries that reached no node
 	Units    float64
-	Lateness time.Duration
+	Lateness time.Duration // of the generator: from when it was due to when its client set about it
 }
 
 func newReferee(s *Scenario, d *Schedule) *referee {
@@ -159,12 +159,16 @@
 	}
 }
 
-// ask books a try before its first byte is sent.
-func (r *referee) ask(t *try) {
+// ask books a try as its client sets about it.
+func (r *referee) ask(t *try, at time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tries[t.id] = t
-	r.records[t.arrival].Tries++
+	rec := &r.records[t.arrival]
+	rec.Tries++
+	if t.number == 0 {
+		rec.Lateness = at - rec.Due
+	}
 }
 
 // sent books that the last byte of a try was written.
@@ -172,9 +176,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t.sent, t.taken = at, true
-	if rec := &r.records[t.arrival]; t.number == 0 {
-		rec.Sent = at
-		rec.Lateness = at - rec.Due
+	if t.number == 0 {
+		r.records[t.arrival].Sent = at
 	}
 }
 
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -54,7 +54,8 @@
 		{"refusals.svg", "Tries refused and failed a second", "tries", []line{
 			{"refused", func(s *Series) float64 { return float64(s.Refused) }},
 			{"refused with room", func(s *Series) float64 { return float64(s.RefusedAt) }},
-			{"failed", func(s *Series) float64 { return float64(s.Failed) }}}},
+			{"failed", func(s *Series) float64 { return float64(s.Failed - s.Unreached) }},
+			{"came to no node", func(s *Series) float64 { return float64(s.Unreached) }}}},
 		{"memory.svg", "Largest resident memory of a node", "MB", []line{{"memory", func(s *Series) float64 {
 			if s.Memory == 0 {
 				return math.NaN()
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -46,8 +46,9 @@
 	Refused    int            `json:"refused"`
 	RefusedAt  int            `json:"refused_with_room"`
 	Failed     int            `json:"failed"`
-	Worth      float64        `json:"worth"`   // earned within the aim, inside quotas
-	Offered    float64        `json:"offered"` // to be had inside quotas
+	Unreached  int            `json:"unreached"` // of the failed ones: they came to no node
+	Worth      float64        `json:"worth"`     // earned within the aim, inside quotas
+	Offered    float64        `json:"offered"`   // to be had inside quotas
 	P50        float64        `json:"p50_ms"`
 	P99        float64        `json:"p99_ms"`
 	Memory     float64        `json:"memory_mb"` // largest of the nodes
@@ -539,6 +540,7 @@
 		s.Refused += r.Refused
 		s.RefusedAt += r.Room
 		s.Failed += r.Failed
+		s.Unreached += r.Unreach
 		s.Offered += r.Offered
 		if r.Served {
 			s.Served++
@@ -580,7 +582,7 @@
 		room += r.Room
 		failed += r.Failed
 		offered += r.Offered
-		if r.Sent > 0 {
+		if r.Tries > 0 {
 			record(late, r.Lateness)
 		}
 		if r.Served {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -83,6 +83,7 @@
 	MarkRetry  bool     `toml:"mark_retry"`
 	Unsafe     float64  `toml:"unsafe"` // share of requests that must never run twice
 	Skew       float64  `toml:"skew"`   // how unevenly a customer's requests spread over its nodes, 0 for evenly
+	Spread     float64  `toml:"spread"` // share of the nodes that a customer's requests come through; 0: two to four nodes
 	Heavy      float64  `toml:"heavy"`  // share of customers that ask three times their quota
 	FrontSees  Duration `toml:"front_sees"`
 	ShiftEvery Duration `toml:"shift_every"` // how often a customer's busiest node changes
@@ -267,7 +268,7 @@
 		{"fleet.cross_delay", f.CrossDelay.s(), 0, 1}, {"fleet.memory_mb", float64(f.MemoryMB), 16, 1 << 20}, {"fleet.sockets", float64(f.Sockets), 64, 1 << 20},
 		{"load.rate", l.Rate, 0.1, 100000}, {"load.work_ms", l.WorkMS, 0.01, 10000}, {"load.aim", l.Aim.s(), 0.01, 60},
 		{"load.deadline", l.Deadline.s(), l.Aim.s(), 60}, {"load.retries", float64(l.Retries), 0, 10}, {"load.honour", l.Honour, 0, 1},
-		{"load.unsafe", l.Unsafe, 0, 1}, {"load.skew", l.Skew, 0, 5}, {"load.heavy", l.Heavy, 0, 1}, {"load.front_sees", l.FrontSees.s(), 0, 60},
+		{"load.unsafe", l.Unsafe, 0, 1}, {"load.skew", l.Skew, 0, 5}, {"load.heavy", l.Heavy, 0, 1}, {"load.spread", l.Spread, 0, 1}, {"load.front_sees", l.FrontSees.s(), 0, 60},
 		{"load.shift_every", l.ShiftEvery.s(), 0.1, 3600},
 	} {
 		if !(c.got >= c.least && c.got <= c.most) {
--- a/internal/lab/schedule.go
+++ b/internal/lab/schedule.go
@@ -151,7 +151,14 @@
 				use = left / full
 			}
 			left -= use * full
-			spread := min(2+rng.IntN(3), s.Fleet.Nodes)
+			spread := 2 + rng.IntN(3)
+			if s.Load.Spread > 0 {
+				spread = max(spread, int(s.Load.Spread*float64(s.Fleet.Nodes)))
+			}
+			if plan.CeilingBurst > 0 { // or no node's part of it would hold a request
+				spread = min(spread, int(plan.CeilingBurst/(2*mostUnits)))
+			}
+			spread = min(spread, s.Fleet.Nodes)
 			c := Customer{ID: rng.Uint64N(1 << 33), Plan: p, Spread: spread, First: rng.IntN(s.Fleet.Nodes), Rate: ask * full}
 			for range spread {
 				c.weight = append(c.weight, math.Exp(s.Load.Skew*rng.NormFloat64()))
