Lab: faults by command into a run that goes on

Need: whoever carries the pager wants to see what a fault does while looking on, with no scenario written.

Measured: go test -run FaultsByCommand ./internal/lab: a fault is taken, three that can't be are turned down.

--- a/cmd/opalhook/lab.go
+++ b/cmd/opalhook/lab.go
@@ -26,13 +26,13 @@
 		Args:    cobra.NoArgs, // or a word that is no subcommand would pass
 		RunE:    func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(labRun(s), labList(s), labReport(s), labCompare(s))
+	c.AddCommand(labRun(s), labFault(s), labList(s), labReport(s), labCompare(s))
 	return c
 }
 
 func labRun(s *settings) *cobra.Command {
 	var seed uint64
-	var binary, dir, metrics string
+	var binary, dir, control string
 	var runs int
 	c := &cobra.Command{
 		Use:   "run FILE",
@@ -64,7 +64,7 @@
 				if runs > 1 {
 					at = filepath.Join(dir, strconv.FormatUint(seed+uint64(i), 10))
 				}
-				r, err := lab.Run(c.Context(), sc, lab.Options{Seed: seed + uint64(i), Binary: path, Dir: at, Log: s.logger(), Metrics: metrics, Live: live(os.Stderr)})
+				r, err := lab.Run(c.Context(), sc, lab.Options{Seed: seed + uint64(i), Binary: path, Dir: at, Log: s.logger(), Control: control, Live: live(os.Stderr)})
 				if err != nil {
 					return err
 				}
@@ -87,12 +87,54 @@
 	}
 	c.Flags().Uint64Var(&seed, "seed", 1, "of everything that is drawn; further runs take the next ones")
 	c.Flags().IntVar(&runs, "runs", 1, "how many runs, each with a seed of its own")
-	c.Flags().StringVar(&metrics, "metrics", "", "loopback address at which Prometheus finds the run, such as 127.0.0.1:9911")
+	c.Flags().StringVar(&control, "control", "", "loopback address for Prometheus and for `opalhook lab fault`, such as 127.0.0.1:9911")
 	c.Flags().StringVar(&binary, "node-binary", "", "edge node to run (default: built from this repository)")
 	c.Flags().StringVar(&dir, "dir", "", "folder of the run (default: runs/NAME-SEED)")
 	return c
 }
 
+func labFault(s *settings) *cobra.Command {
+	var at string
+	var f lab.Commanded
+	var last, late time.Duration
+	c := &cobra.Command{
+		Use:     "fault KIND [TARGET]",
+		Short:   "Begin a fault in a run that goes on",
+		Long:    "Begin a fault in a run that was started with --control. The target is the number of a node or an app server.",
+		Example: "  opalhook up --control 127.0.0.1:9911\n  opalhook lab fault slow 3 --size 5 --for 10s\n  opalhook lab fault kill 0 --for 4s",
+		Args:    cobra.RangeArgs(1, 2),
+		RunE: func(c *cobra.Command, args []string) error {
+			f.Kind, f.For, f.Late = args[0], lab.Duration(last), lab.Duration(late)
+			if len(args) > 1 {
+				n, err := strconv.Atoi(args[1])
+				if err != nil {
+					return fmt.Errorf("target: %q is no number of a node or an app server", args[1])
+				}
+				f.Target = n
+			}
+			what, err := lab.Command(c.Context(), at, f)
+			if err != nil {
+				return err
+			}
+			if s.json() {
+				return writeJSON(c.OutOrStdout(), map[string]string{"fault": what})
+			}
+			fmt.Fprintln(c.OutOrStdout(), what)
+			return nil
+		},
+	}
+	c.Flags().StringVar(&at, "at", "127.0.0.1:9911", "control address of the run")
+	c.Flags().DurationVar(&last, "for", 0, "how long; 0: for the rest of the run")
+	c.Flags().DurationVar(&late, "late", 0, "of delays")
+	c.Flags().Float64Var(&f.Size, "size", 0, "times slower, a share, or bytes a second")
+	c.Flags().StringVar(&f.Zone, "zone", "", "of the faults of zones")
+	c.Flags().StringVar(&f.Way, "way", "", "of cuts: both, in, out")
+	c.Flags().StringVar(&f.From, "from", "", "of links")
+	c.Flags().StringVar(&f.To, "to", "", "of links")
+	c.Flags().StringVar(&f.Does, "does", "", "of links: silence, reset, refuse, loss, delay, rate")
+	return c
+}
+
 // live returns a function that shows progress: one line that is written over on a terminal,
 // a line a second elsewhere.
 func live(out *os.File) func(lab.Progress) {
--- a/cmd/opalhook/up.go
+++ b/cmd/opalhook/up.go
@@ -14,7 +14,7 @@
 
 // upCommand is the first thing that a newcomer runs.
 func upCommand(s *settings) *cobra.Command {
-	var binary, metrics string
+	var binary, control string
 	var last time.Duration
 	c := &cobra.Command{
 		Use:   "up",
@@ -38,7 +38,7 @@
 			if err != nil {
 				return err
 			}
-			r, err := lab.Run(c.Context(), sc, lab.Options{Seed: uint64(time.Now().UnixNano()), Binary: path, Dir: dir, Log: s.logger(), Metrics: metrics, Live: live(os.Stderr)})
+			r, err := lab.Run(c.Context(), sc, lab.Options{Seed: uint64(time.Now().UnixNano()), Binary: path, Dir: dir, Log: s.logger(), Control: control, Live: live(os.Stderr)})
 			if errors.Is(err, context.Canceled) {
 				fmt.Fprintln(c.ErrOrStderr(), "\nended: no process is left")
 				return nil
@@ -53,7 +53,7 @@
 			return nil
 		},
 	}
-	c.Flags().StringVar(&metrics, "metrics", "", "loopback address at which Prometheus finds the run, such as 127.0.0.1:9911")
+	c.Flags().StringVar(&control, "control", "", "loopback address for Prometheus and for `opalhook lab fault`, such as 127.0.0.1:9911")
 	c.Flags().StringVar(&binary, "node-binary", "", "edge node to run (default: built from this repository)")
 	c.Flags().DurationVar(&last, "for", time.Hour, "how long it runs at most")
 	return c
--- a/internal/lab/metrics.go
+++ b/internal/lab/control.go
@@ -1,10 +1,15 @@
 package lab
 
 import (
+	"bytes"
+	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -93,11 +98,11 @@
 	}
 }
 
-// serveMetrics serves the run's metrics at an address until the run ends.
-func (w *world) serveMetrics(addr string) error {
+// serveControl serves the run's metrics, and takes faults, at an address until the run ends.
+func (w *world) serveControl(addr string) error {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
-		return fmt.Errorf("metrics: %w", err)
+		return fmt.Errorf("control: %w", err)
 	}
 	reg := prometheus.NewRegistry()
 	if err := reg.Register(newMetrics(w)); err != nil {
@@ -105,11 +110,12 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	mux.HandleFunc("POST /fault", w.takeFault)
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	w.log.Info("metrics", "at", "http://"+ln.Addr().String()+"/metrics")
+	w.log.Info("control", "metrics", "http://"+ln.Addr().String()+"/metrics")
 	w.work.Go(func() {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			w.fail(fmt.Errorf("metrics: %w", err))
+			w.fail(fmt.Errorf("control: %w", err))
 		}
 	})
 	w.work.Go(func() {
@@ -118,3 +124,93 @@
 	})
 	return nil
 }
+
+// takeFault begins a fault of a running scenario: the body is one as in a scenario file, in
+// JSON, with a target in place of a choice of targets.
+func (w *world) takeFault(rw http.ResponseWriter, r *http.Request) {
+	var c Commanded
+	d := json.NewDecoder(http.MaxBytesReader(rw, r.Body, 4096))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&c); err != nil {
+		http.Error(rw, "fault: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	ft := Fault{Kind: c.Kind, Zone: c.Zone, Size: c.Size, Late: c.Late, Way: c.Way, From: c.From, To: c.To, Does: c.Does, For: c.For}
+	kind := faultKinds[ft.Kind]
+	most := map[string]int{"nodes": len(w.nodes), "servers": len(w.servers)}[kind.target]
+	err := w.s.validateFault("fault.", &ft)
+	switch {
+	case err != nil:
+	case kind.relays && len(w.relays) == 0:
+		err = wrong("fault.kind", "%s wants links through relays, which this run has not: give its scenario a link fault", ft.Kind)
+	case most > 0 && (c.Target < 0 || c.Target >= most):
+		err = wrong("fault.target", "%d is not from 0 to %d", c.Target, most-1)
+	}
+	if err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e := Event{At: w.now(), Target: c.Target}
+	if most == 0 {
+		e.Target = -1
+	}
+	play := func(e Event) error {
+		w.lagMu.Lock()
+		w.commanded = append(w.commanded, Mark{w.now().Seconds(), ft.describe(e)})
+		w.lagMu.Unlock()
+		w.log.Info("fault by command", "what", ft.describe(e))
+		return w.carryOut(&ft, e)
+	}
+	if err := play(e); err != nil {
+		http.Error(rw, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if ft.For > 0 {
+		w.after(time.Duration(ft.For), func() {
+			e.End = true
+			if err := play(e); err != nil {
+				w.fail(fmt.Errorf("fault %s: %w", ft.describe(e), err))
+			}
+		})
+	}
+	fmt.Fprintln(rw, ft.describe(e))
+}
+
+// Commanded is a fault by command at run time.
+type Commanded struct {
+	Kind   string   `json:"kind"`
+	Target int      `json:"target"` // number of the node or server
+	For    Duration `json:"for"`
+	Zone   string   `json:"zone"`
+	Size   float64  `json:"size"`
+	Late   Duration `json:"late"`
+	Way    string   `json:"way"`
+	From   string   `json:"from"`
+	To     string   `json:"to"`
+	Does   string   `json:"does"`
+}
+
+// Command sends a fault to the run whose control address this is.
+func Command(ctx context.Context, addr string, c Commanded) (string, error) {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return "", fmt.Errorf("fault: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/fault", bytes.NewReader(body))
+	if err != nil {
+		return "", fmt.Errorf("control address %q: %w", addr, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", fmt.Errorf("no run at %s: start one with --control %s: %w", addr, addr, err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 4096))
+	if err != nil {
+		return "", fmt.Errorf("answer: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return "", errors.New(strings.TrimSpace(string(text)))
+	}
+	return strings.TrimSpace(string(text)), nil
+}
--- /dev/null
+++ b/internal/lab/control_test.go
@@ -0,0 +1,54 @@
+package lab
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+)
+
+// A run takes faults by command while it goes, shows itself to Prometheus, and turns down a
+// command that can't be with the field's name.
+func TestFaultsByCommand(t *testing.T) {
+	addr := freeAddr(t)
+	s := small("commanded")
+	var errs []error
+	asked := false
+	live := func(Progress) {
+		if asked {
+			return
+		}
+		asked = true
+		for _, c := range []Commanded{{Kind: "slow", Target: 1, Size: 3, For: Duration(200 * ms)}, {Kind: "flood"}, {Kind: "slow", Target: 99, Size: 3}, {Kind: "cut-zone", Zone: "a"}} {
+			_, err := Command(t.Context(), addr, c)
+			errs = append(errs, err)
+		}
+		resp, err := http.Get("http://" + addr + "/metrics")
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer resp.Body.Close()
+		if text, _ := io.ReadAll(resp.Body); !strings.Contains(string(text), "opalhook_lab_tries_total{outcome=\"served\"}") {
+			t.Errorf("metrics %.300s", text)
+		}
+	}
+	r, err := Run(t.Context(), s, Options{Seed: 3, Binary: os.Args[0], Env: []string{standIn + "=correct"}, Dir: t.TempDir(), Control: addr,
+		Log: slog.New(slog.DiscardHandler), Live: live})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(errs) != 4 || errs[0] != nil {
+		t.Fatalf("%v", errs)
+	}
+	for i, want := range []string{"", "fault.kind", "fault.target", "relays"} {
+		if i > 0 && (errs[i] == nil || !strings.Contains(errs[i].Error(), want)) {
+			t.Errorf("error %v, want %q", errs[i], want)
+		}
+	}
+	if len(r.Marks) == 0 || r.Marks[0].What != "slow 1" {
+		t.Errorf("marks %v", r.Marks)
+	}
+}
--- a/internal/lab/referee_test.go
+++ b/internal/lab/referee_test.go
@@ -252,16 +252,22 @@
 	}
 }
 
-// startChild starts the stand-in as a lone process that is ready.
-func startChild(t *testing.T, how string) (*process, error) {
+// freeAddr is an address that was free a moment ago.
+func freeAddr(t *testing.T) string {
 	t.Helper()
-	dir := t.TempDir()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		t.Fatal(err)
 	}
-	addr := ln.Addr().String()
-	ln.Close()
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// startChild starts the stand-in as a lone process that is ready.
+func startChild(t *testing.T, how string) (*process, error) {
+	t.Helper()
+	dir := t.TempDir()
+	addr := freeAddr(t)
 	cfg := filepath.Join(dir, "c.json")
 	text, err := json.Marshal(nodeConfig{Listen: addr, Discovery: "127.0.0.1:1"})
 	if err != nil {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -22,7 +22,7 @@
 	Binary  string         // of the edge node
 	Env     []string       // added to the nodes' environment
 	Dir     string         // takes configurations, logs and the result; made if it is not there
-	Metrics string         // address at which Prometheus finds the run; "": nowhere
+	Control string         // address at which Prometheus finds the run and faults are taken; "": nowhere
 	Log     *slog.Logger   // faults and what the lab meets
 	Live    func(Progress) // called about once a second; may be nil
 }
@@ -124,8 +124,8 @@
 	if err := w.startNodes(); err != nil {
 		return nil, err
 	}
-	if o.Metrics != "" {
-		if err := w.serveMetrics(o.Metrics); err != nil {
+	if o.Control != "" {
+		if err := w.serveControl(o.Control); err != nil {
 			return nil, err
 		}
 	}
@@ -507,6 +507,7 @@
 	for _, e := range w.d.Faults {
 		r.Marks = append(r.Marks, Mark{e.At.Seconds(), w.s.Faults[e.Fault].describe(e)})
 	}
+	r.Marks = append(r.Marks, w.commanded...)
 	r.Series = w.series()
 	r.Figures = w.figures(0, time.Duration(w.s.Duration))
 	r.Figures["restored_nodes"] = float64(up)
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -56,6 +56,7 @@
 
 	connections, listCalls, serversFell atomic.Int64
 	crashes                             atomic.Int64
+	commanded                           []Mark    // faults by command; under lagMu
 	memory                              []float64 // by the second: the largest of a node, in MB; under lagMu
 	lagMu                               sync.Mutex
 	lag                                 time.Duration // longest that the lab itself stood still, of late
