Registry: histories under kills, stalls and cuts are checked; replicas name what is wrong

Need: what the list service promises must hold with real processes and faults between them.

Change: three replicas as processes, each pair joined by links of the lab for each direction, under writes of six clients: leaders killed, stopped, cut off both ways, mute and deaf, and all killed at once; porcupine checks the history against a specification written apart from the state machine, and generations against the order of time. A write that was surely not done is told apart from one that may have been. Found on the way: a leader's leases could miss an entry registered as it took over; two processes on one folder waited for each other without a word; a replica started at another address was one that the others don't know. A link can be had alone, for tests of other parts.

--- a/internal/lab/front.go
+++ b/internal/lab/front.go
@@ -229,7 +229,7 @@
 			return triedUnreached, 0
 		}
 		f.w.ref.sent(t, f.w.now())
-		if _, err = cc.br.Peek(1); err != nil && kept && !again && !timedOut(err) {
+		if err = f.awaitAnswer(t, cc); err != nil && kept && !again && !timedOut(err) {
 			cc.Close() // the node closed it as the request came: sent once more, as the protocol says
 			continue
 		}
@@ -237,6 +237,22 @@
 	}
 }
 
+// awaitAnswer waits for an answer's first byte, for as long as the client and then the machine
+// give: what a node was starved of meanwhile is not held against it.
+func (f *front) awaitAnswer(t *try, cc *clientConn) error {
+	for {
+		_, err := cc.br.Peek(1)
+		if err == nil || !timedOut(err) {
+			return err
+		}
+		limit := f.w.wall(t.deadline + givesUp + f.w.slack(t.node))
+		if !limit.After(time.Now()) {
+			return err
+		}
+		cc.SetDeadline(limit)
+	}
+}
+
 // word words a request whose client waits for so long.
 func (f *front) word(t *try, a *Arrival, c *Customer, wait time.Duration) string {
 	class := classes[a.Class]
--- a/internal/lab/link.go
+++ b/internal/lab/link.go
@@ -12,8 +12,8 @@
 	"time"
 )
 
-// linkState is how one direction of a link is.
-type linkState struct {
+// LinkState is how one direction of a link is. The zero value is a link as it should be.
+type LinkState struct {
 	Cut   bool          // nothing passes and nothing tells: open and mute
 	Delay time.Duration // of each packet, with up to half as much again
 	Loss  float64       // share of the packets lost; TCP sends them again
@@ -23,17 +23,24 @@
 // resend is the pause after which TCP sends what was lost again.
 const resend = 200 * time.Millisecond
 
+// pacemaker is the time of a run and what goes on in it.
+type pacemaker interface {
+	now() time.Duration
+	sleep(d time.Duration) bool // false where the run ends first
+	spawn(f func())             // f ends with the run
+}
+
 // tcpRelay is the link from one party to another for TCP: a listener in the place of the
 // target. Each direction has a state of its own.
 type tcpRelay struct {
-	w      *world
+	w      pacemaker
 	addr   string
 	target string
 
 	mu      sync.Mutex
 	rng     *rand.Rand
-	out     linkState // from the one that connects
-	back    linkState
+	out     LinkState // from the one that connects
+	back    LinkState
 	refuse  bool
 	broke   time.Duration // when the link was last not as it should be
 	ln      *net.TCPListener
@@ -48,8 +55,8 @@
 	starved   bool // something was withheld: the ends no longer agree
 }
 
-func startTCPRelay(w *world, addr, target string, stream int) (*tcpRelay, error) {
-	r := &tcpRelay{w: w, addr: addr, target: target, rng: random(w.seed, streamLinks<<16|stream), pairs: map[*relayed]bool{}}
+func startTCPRelay(w pacemaker, seed uint64, addr, target string, stream int) (*tcpRelay, error) {
+	r := &tcpRelay{w: w, addr: addr, target: target, rng: random(seed, streamLinks<<16|stream), pairs: map[*relayed]bool{}}
 	return r, r.open()
 }
 
@@ -63,7 +70,7 @@
 	r.ln = ln.(*net.TCPListener)
 	r.addr = ln.Addr().String()
 	r.mu.Unlock()
-	r.w.work.Go(func() { r.accept(ln) })
+	r.w.spawn(func() { r.accept(ln) })
 	return nil
 }
 
@@ -81,12 +88,12 @@
 			continue
 		}
 		if cut { // it came up as the link went down
-			r.w.work.Go(func() {
+			r.w.spawn(func() {
 				r.hold(&relayed{near: c})
 			})
 			continue
 		}
-		r.w.work.Go(func() { r.carry(c) })
+		r.w.spawn(func() { r.carry(c) })
 	}
 }
 
@@ -125,14 +132,14 @@
 	r.add(p)
 	defer r.remove(p)
 	var ends sync.WaitGroup
-	ends.Go(func() { r.pass(p, near, far, func() linkState { return r.out }) })
-	ends.Go(func() { r.pass(p, far, near, func() linkState { return r.back }) })
+	ends.Go(func() { r.pass(p, near, far, func() LinkState { return r.out }) })
+	ends.Go(func() { r.pass(p, far, near, func() LinkState { return r.back }) })
 	ends.Wait()
 }
 
 // pass moves bytes one way until an end closes. An end is passed on as it was: a reset as a
 // reset, a close as a close.
-func (r *tcpRelay) pass(p *relayed, from, to net.Conn, state func() linkState) {
+func (r *tcpRelay) pass(p *relayed, from, to net.Conn, state func() LinkState) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
@@ -195,12 +202,12 @@
 func (r *tcpRelay) sound(since time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.out == (linkState{}) && r.back == (linkState{}) && !r.refuse && (r.broke == 0 || r.broke < since)
+	return r.out == (LinkState{}) && r.back == (LinkState{}) && !r.refuse && (r.broke == 0 || r.broke < since)
 }
 
 // set changes the link. While a direction is cut, new connections never come up; once it is
 // back, connections that missed something are reset.
-func (r *tcpRelay) set(change func(out, back *linkState)) error {
+func (r *tcpRelay) set(change func(out, back *LinkState)) error {
 	r.mu.Lock()
 	was := r.out.Cut || r.back.Cut
 	change(&r.out, &r.back)
@@ -259,7 +266,7 @@
 	}
 	r.mu.Unlock()
 	ln.SetDeadline(time.Time{})
-	r.w.work.Go(func() { r.accept(ln) }) // the one before ended with the deadline
+	r.w.spawn(func() { r.accept(ln) }) // the one before ended with the deadline
 	return nil
 }
 
@@ -306,7 +313,7 @@
 	rng    *rand.Rand
 	from   map[netip.AddrPort]int
 	homes  []netip.AddrPort     // where each node listens
-	links  map[[2]int]linkState // from, to
+	links  map[[2]int]LinkState // from, to
 	loss   float64
 	inbox  []float64 // datagrams that each node can still take in
 	inAt   []time.Duration
@@ -315,7 +322,7 @@
 
 func startUDPRelay(w *world, block string) (*udpRelay, error) {
 	n := w.s.Fleet.Nodes
-	u := &udpRelay{w: w, rng: random(w.seed, streamLinks), from: map[netip.AddrPort]int{}, links: map[[2]int]linkState{}, loss: w.s.Fleet.PeerLoss,
+	u := &udpRelay{w: w, rng: random(w.seed, streamLinks), from: map[netip.AddrPort]int{}, links: map[[2]int]LinkState{}, loss: w.s.Fleet.PeerLoss,
 		inbox: make([]float64, n), inAt: make([]time.Duration, n), homes: make([]netip.AddrPort, n)}
 	for i := range n + 1 {
 		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(block)})
@@ -403,7 +410,7 @@
 	u.w.after(d, func() { u.socks[from].WriteToUDPAddrPort(msg, home) })
 }
 
-func (u *udpRelay) set(from, to int, change func(*linkState)) {
+func (u *udpRelay) set(from, to int, change func(*LinkState)) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	l := u.links[[2]int{from, to}]
@@ -422,3 +429,58 @@
 		c.Close()
 	}
 }
+
+// Link is a relay for TCP by itself, between parties that a test names.
+type Link struct {
+	relay *tcpRelay
+	alone *lone
+}
+
+// lone is a run of nothing but links.
+type lone struct {
+	origin time.Time
+	over   chan struct{}
+	work   sync.WaitGroup
+}
+
+func (l *lone) now() time.Duration { return time.Since(l.origin) }
+func (l *lone) spawn(f func())     { l.work.Go(f) }
+
+func (l *lone) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-l.over:
+		return false
+	}
+}
+
+// NewLink opens a link to a target, at an address of its own; what it draws comes from the
+// seed.
+func NewLink(target string, seed uint64) (*Link, error) {
+	l := &Link{alone: &lone{origin: time.Now(), over: make(chan struct{})}}
+	var err error
+	l.relay, err = startTCPRelay(l.alone, seed, "127.0.0.1:0", target, 0)
+	return l, err
+}
+
+// Addr is where to connect instead of to the target.
+func (l *Link) Addr() string {
+	l.relay.mu.Lock()
+	defer l.relay.mu.Unlock()
+	return l.relay.addr
+}
+
+// Set changes both directions: there is from who connects to the target.
+func (l *Link) Set(there, back LinkState) error {
+	return l.relay.set(func(out, in *LinkState) { *out, *in = there, back })
+}
+
+// Close ends the link and what goes through it.
+func (l *Link) Close() {
+	close(l.alone.over)
+	l.relay.close()
+	l.alone.work.Wait()
+}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -330,7 +330,7 @@
 		if n == s {
 			continue
 		}
-		err := r.set(func(there, back *linkState) {
+		err := r.set(func(there, back *LinkState) {
 			// A relay's one way is from the node to the server.
 			if n {
 				there.Cut, back.Cut = cut && out, cut && in
@@ -345,8 +345,8 @@
 	for i := range w.nodes {
 		for j := range w.nodes {
 			if nodeInside(i) && !nodeInside(j) {
-				w.udp.set(i, j, func(l *linkState) { l.Cut = cut && out })
-				w.udp.set(j, i, func(l *linkState) { l.Cut = cut && in })
+				w.udp.set(i, j, func(l *LinkState) { l.Cut = cut && out })
+				w.udp.set(j, i, func(l *LinkState) { l.Cut = cut && in })
 			}
 		}
 	}
@@ -364,7 +364,7 @@
 	if err != nil {
 		return err
 	}
-	change := func(l *linkState) {
+	change := func(l *LinkState) {
 		x := 1.0
 		if end {
 			x = 0
@@ -394,9 +394,9 @@
 			case there != nil && (ft.Does == "reset" || ft.Does == "refuse"):
 				there.disturb(ft.Does == "refuse" && !end, ft.Does == "reset" && !end)
 			case there != nil:
-				err = there.set(func(out, _ *linkState) { change(out) })
+				err = there.set(func(out, _ *LinkState) { change(out) })
 			case back != nil:
-				err = back.set(func(_, in *linkState) { change(in) })
+				err = back.set(func(_, in *LinkState) { change(in) })
 			}
 			if err != nil {
 				return err
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -135,6 +135,9 @@
 	}
 }
 
+// spawn runs f beside the run, which waits for its end.
+func (w *world) spawn(f func()) { w.work.Go(f) }
+
 // after runs f later, unless the run ends first.
 func (w *world) after(d time.Duration, f func()) {
 	if d <= 0 {
@@ -204,7 +207,7 @@
 
 // relay puts a relay between two parties.
 func (w *world) relay(from, to party, addr, target string) error {
-	r, err := startTCPRelay(w, addr+":0", target, len(w.relays))
+	r, err := startTCPRelay(w, w.seed, addr+":0", target, len(w.relays))
 	if err != nil {
 		return err
 	}
@@ -222,11 +225,16 @@
 	return s.Fleet.CrossDelay > 0
 }
 
-// descriptors is about how many a run needs in the lab's process.
+// descriptors is about how many a run needs in the lab's process: listeners, a connection for
+// each request that is open when answers take as long as they are wanted within, and what
+// nodes keep to servers.
 func (s *Scenario) descriptors() int {
 	f := &s.Fleet
-	perS := s.Load.Rate * 3
-	n := 200 + f.Nodes*4 + f.Servers*2 + int(perS*s.Load.Deadline.s()/2) + f.Nodes*min(f.Servers, 60)
+	most := 1.0
+	for _, b := range s.Load.Bursts {
+		most = max(most, b.Times)
+	}
+	n := 200 + f.Nodes*4 + f.Servers*2 + int(2*most*s.Load.Rate*s.Load.Aim.s()) + f.Nodes*min(f.Servers, 60)
 	if s.relayed() {
 		n += f.Nodes*f.Servers + 2*f.Nodes*min(f.Servers, 60)
 	}
--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -70,10 +70,14 @@
 }
 
 // later turns a client away for a drawn while, so that those turned away together don't come
-// back together.
+// back together. What it asked for was not done.
 func later(w http.ResponseWriter, format string, args ...any) {
+	retry(w, Later, format, args...)
+}
+
+func retry(w http.ResponseWriter, code Code, format string, args ...any) {
 	w.Header().Set("Retry-After", strconv.Itoa(1+rand.IntN(3)))
-	problem(w, http.StatusServiceUnavailable, "later", format, args...)
+	problem(w, http.StatusServiceUnavailable, code, format, args...)
 }
 
 // statuses are the HTTP statuses of outcomes.
@@ -101,11 +105,7 @@
 	o, err := s.commit(c)
 	if err != nil {
 		s.writes.WithLabelValues(c.Kind, "failed").Inc()
-		if errors.Is(err, errNoLeader) {
-			later(w, "the leader has changed; the write may have been done, and may be sent again")
-			return
-		}
-		later(w, "%v; the write may have been done, and may be sent again", err)
+		retry(w, Unknown, "%v; the write may have been done, and may be sent again", err)
 		return
 	}
 	s.writes.WithLabelValues(c.Kind, string(o.Code)).Inc()
@@ -217,6 +217,7 @@
 	q := r.URL.Query()
 	if q.Get("watch") == "" {
 		whole, _ := s.machine.all()
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWithin)) // one that takes nothing holds nothing
 		w.Header().Set("Content-Type", "application/json")
 		w.Write(whole)
 		return
--- /dev/null
+++ b/internal/registry/cluster_test.go
@@ -0,0 +1,497 @@
+package registry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"mulleinmux/internal/lab"
+)
+
+// asReplica names the variable that makes the test binary a replica: its value is the
+// configuration.
+const asReplica = "OPALHOOK_REGISTRY_REPLICA"
+
+func TestMain(m *testing.M) {
+	if text := os.Getenv(asReplica); text != "" {
+		if err := runReplica(text); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func runReplica(text string) error {
+	var cfg Config
+	var plain struct {
+		Dir, Listen, Raft, Join string
+		Via                     map[string]string
+	}
+	if err := json.Unmarshal([]byte(text), &plain); err != nil {
+		return err
+	}
+	cfg.Dir, cfg.Listen, cfg.Raft, cfg.Join, cfg.Via = plain.Dir, plain.Listen, plain.Raft, plain.Join, plain.Via
+	cfg.Log = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	s, err := Start(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return s.Close()
+}
+
+// member is one replica as a process, which may be killed, stopped and started again.
+type member struct {
+	t            testing.TB
+	dir          string
+	listen, raft string
+	cmd          *exec.Cmd
+	log          string
+	via          map[string]string     // to the others, through links
+	links        map[*member]*lab.Link // the same, by the other
+}
+
+// freeAddr is an address that was free a moment ago.
+func freeAddr(t testing.TB) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func newMember(t testing.TB) *member {
+	m := &member{t: t, dir: t.TempDir(), listen: freeAddr(t), raft: freeAddr(t)}
+	m.log = filepath.Join(t.TempDir(), "log")
+	t.Cleanup(m.kill)
+	return m
+}
+
+// start starts the process and waits until it answers.
+func (m *member) start(join string) {
+	m.t.Helper()
+	text, err := json.Marshal(map[string]any{"Dir": m.dir, "Listen": m.listen, "Raft": m.raft, "Join": join, "Via": m.via})
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	log, err := os.OpenFile(m.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	defer log.Close()
+	m.cmd = exec.Command(os.Args[0])
+	m.cmd.Env = append(os.Environ(), asReplica+"="+string(text))
+	m.cmd.Stderr = log
+	if err := m.cmd.Start(); err != nil {
+		m.t.Fatal(err)
+	}
+	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+		if resp, err := http.Get("http://" + m.listen + "/registry/status"); err == nil {
+			resp.Body.Close()
+			return
+		}
+		if time.Now().After(end) {
+			text, _ := os.ReadFile(m.log)
+			m.t.Fatalf("replica never answers: %s", text)
+		}
+	}
+}
+
+// connect puts links between all replicas, each direction apart.
+func connect(t testing.TB, all []*member) {
+	t.Helper()
+	for _, a := range all {
+		a.via, a.links = map[string]string{}, map[*member]*lab.Link{}
+		for i, b := range all {
+			if a == b {
+				continue
+			}
+			l, err := lab.NewLink(b.raft, uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(l.Close)
+			a.via[b.raft], a.links[b] = l.Addr(), l
+		}
+	}
+}
+
+// cut cuts what goes from a replica to the others, and what comes from them, or heals both.
+func (m *member) cut(all []*member, out, in bool) {
+	m.t.Helper()
+	for _, b := range all {
+		if b == m {
+			continue
+		}
+		// A connection carries its maker's requests one way and the answers the other.
+		err := errors.Join(m.links[b].Set(lab.LinkState{Cut: out}, lab.LinkState{Cut: in}), b.links[m].Set(lab.LinkState{Cut: in}, lab.LinkState{Cut: out}))
+		if err != nil {
+			m.t.Fatal(err)
+		}
+	}
+}
+
+// kill ends the process at once, whatever it is at.
+func (m *member) kill() {
+	if m.cmd != nil {
+		m.cmd.Process.Kill()
+		m.cmd.Wait()
+		m.cmd = nil
+	}
+}
+
+// leads tells whether the replica says that it leads.
+func (m *member) leads() bool {
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Get("http://" + m.listen + "/registry/status")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	var s Status
+	return json.NewDecoder(resp.Body).Decode(&s) == nil && s.State == "leader"
+}
+
+// write is one operation of a history.
+type write struct {
+	kind string
+	id   string
+	inc  uint64
+}
+
+// ending is how it came out; unknown where the client can't tell whether it was done.
+type ending struct {
+	code       Code
+	generation uint64
+	unknown    bool
+}
+
+// life1 is what the list knows of one instance, as the page of its writes promises.
+type life1 struct {
+	here, drained bool
+	inc, gone     uint64
+}
+
+// promised is the sequential specification of the writes of one instance. It is written apart
+// from the state machine.
+func promised(s life1, w write) (life1, Code) {
+	if w.kind == Register {
+		switch {
+		case w.inc <= s.gone || s.here && w.inc < s.inc:
+			return s, Stale
+		case s.here && w.inc == s.inc:
+			return s, Same
+		}
+		return life1{here: true, inc: w.inc, gone: s.gone}, Done
+	}
+	switch {
+	case !s.here && w.inc <= s.gone:
+		return s, Same
+	case !s.here || w.inc > s.inc:
+		return s, Missing
+	case w.inc < s.inc:
+		return s, Stale
+	case w.kind == Drain && s.drained:
+		return s, Same
+	case w.kind == Drain:
+		s.drained = true
+		return s, Done
+	}
+	return life1{gone: s.inc}, Done
+}
+
+var listModel = porcupine.Model{
+	Partition: func(h []porcupine.Operation) [][]porcupine.Operation {
+		by := map[string][]porcupine.Operation{}
+		for _, o := range h {
+			id := o.Input.(write).id
+			by[id] = append(by[id], o)
+		}
+		var out [][]porcupine.Operation
+		for _, part := range by {
+			out = append(out, part)
+		}
+		return out
+	},
+	Init: func() any { return life1{} },
+	Step: func(state, input, output any) (bool, any) {
+		next, code := promised(state.(life1), input.(write))
+		end := output.(ending)
+		return end.unknown || end.code == code, next
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// history runs clients against the replicas until stop and returns what they saw.
+func history(t *testing.T, all []*member, stop <-chan struct{}) []porcupine.Operation {
+	t.Helper()
+	began := time.Now()
+	var mu sync.Mutex
+	var ops []porcupine.Operation
+	var work sync.WaitGroup
+	const never = int64(1 << 62)
+	for client := range 6 {
+		work.Go(func() {
+			rng := rand.New(rand.NewPCG(uint64(client), 7))
+			hc := &http.Client{Timeout: 4 * time.Second}
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				w := write{kind: []string{Register, Register, Drain, Remove}[rng.IntN(4)], id: fmt.Sprint("s-", rng.IntN(8)), inc: 1 + rng.Uint64N(1000)/100 + uint64(time.Since(began)/(500*time.Millisecond))}
+				op := porcupine.Operation{ClientId: client, Input: w, Call: time.Since(began).Nanoseconds()}
+				end := send(hc, all[rng.IntN(len(all))].listen, w)
+				op.Output, op.Return = end, time.Since(began).Nanoseconds()
+				if end.unknown {
+					op.Return = never // it may be done at any time yet
+				}
+				if end.code != Later {
+					mu.Lock()
+					ops = append(ops, op)
+					mu.Unlock()
+				}
+				if end.unknown || end.code == Later {
+					time.Sleep(50 * time.Millisecond) // not to flood a service that has no leader
+				}
+			}
+		})
+	}
+	work.Wait()
+	return ops
+}
+
+// send carries out one write, once.
+func send(hc *http.Client, addr string, w write) ending {
+	base := "http://" + addr + "/registry/instances"
+	var req *http.Request
+	var err error
+	switch w.kind {
+	case Register:
+		var n int
+		fmt.Sscanf(w.id, "s-%d", &n)
+		req, err = http.NewRequest("POST", base, bytes.NewReader([]byte(registration(w.id, 100+n, int(w.inc), 0))))
+	case Drain:
+		req, err = http.NewRequest("POST", fmt.Sprintf("%s/%s/drain?incarnation=%d", base, w.id, w.inc), nil)
+	default:
+		req, err = http.NewRequest("DELETE", fmt.Sprintf("%s/%s?incarnation=%d", base, w.id, w.inc), nil)
+	}
+	if err != nil {
+		panic(err)
+	}
+	resp, err := hc.Do(req)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return ending{code: Later}
+	}
+	if err != nil {
+		return ending{unknown: true}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	var o Outcome
+	if err != nil || json.Unmarshal(text, &o) != nil || o.Code == Unknown {
+		return ending{unknown: true}
+	}
+	if resp.StatusCode == http.StatusTemporaryRedirect {
+		return ending{code: Later} // in a circle
+	}
+	return ending{code: o.Code, generation: o.Generation}
+}
+
+// judge checks a history: it must be one that the promised order of writes could have given,
+// no generation may name two changes, and generations must follow the order of time.
+func judge(ops []porcupine.Operation) error {
+	res := porcupine.CheckOperationsTimeout(listModel, ops, patience)
+	if res != porcupine.Ok {
+		return fmt.Errorf("the history is not linearizable: %v", res)
+	}
+	used := map[uint64]write{}
+	for i, a := range ops {
+		ea := a.Output.(ending)
+		if ea.code != Done {
+			continue
+		}
+		if w, twice := used[ea.generation]; twice {
+			return fmt.Errorf("generation %d is that of %v and of %v", ea.generation, w, a.Input)
+		}
+		used[ea.generation] = a.Input.(write)
+		for _, b := range ops[i+1:] {
+			if eb := b.Output.(ending); eb.code == Done && (a.Return < b.Call && ea.generation >= eb.generation || b.Return < a.Call && eb.generation >= ea.generation) {
+				return errors.New("generations do not follow the order of time")
+			}
+		}
+	}
+	return nil
+}
+
+// Three replicas as processes. Leaders are killed and stopped, and all are killed at once, under
+// writes of six clients; every replica ends with the same list.
+func TestHistoriesUnderFaults(t *testing.T) {
+	all := []*member{newMember(t), newMember(t), newMember(t)}
+	connect(t, all)
+	all[0].start("")
+	all[1].start(all[0].listen)
+	all[2].start(all[0].listen)
+	leader := func() (m *member) {
+		eventually(t, "a leader", func() bool {
+			for _, c := range all {
+				if c.leads() {
+					m = c
+					return true
+				}
+			}
+			return false
+		})
+		return m
+	}
+	leader()
+	eventually(t, "three replicas", func() bool {
+		c := Client{Replicas: []string{all[0].listen, all[1].listen, all[2].listen}}
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+		sts, errs := c.Status(ctx)
+		return errors.Join(errs...) == nil && len(sts[0].Replicas) == 3 && len(sts[1].Replicas) == 3 && len(sts[2].Replicas) == 3
+	})
+	stop, done := make(chan struct{}), make(chan []porcupine.Operation, 1)
+	go func() { done <- history(t, all, stop) }()
+	wrote := func() { // writes go through again
+		c := &Client{Replicas: []string{all[0].listen, all[1].listen, all[2].listen}}
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+		if _, err := c.Register(ctx, Registration{entry("s-probe", 99), uint64(time.Now().UnixMicro()), 0}); err != nil {
+			t.Errorf("writes never go through again: %v", err)
+		}
+	}
+	for range 2 {
+		l := leader()
+		l.kill()
+		wrote()
+		l.start("")
+		wrote()
+	}
+	l := leader()
+	if err := l.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Error(err)
+	}
+	eventually(t, "another leads", func() bool {
+		for _, m := range all {
+			if m != l && m.leads() {
+				return true
+			}
+		}
+		return false
+	})
+	if err := l.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Error(err)
+	}
+	wrote()
+	for _, way := range [][2]bool{{true, true}, {true, false}, {false, true}} { // both ways, mute, deaf
+		l := leader()
+		l.cut(all, way[0], way[1])
+		wrote()
+		l.cut(all, false, false)
+		wrote()
+	}
+	for _, m := range all {
+		m.kill()
+	}
+	for _, m := range all {
+		m.start("")
+	}
+	wrote()
+	close(stop)
+	ops := <-done
+	if err := judge(ops); err != nil {
+		t.Error(err)
+	}
+	known := 0
+	for _, o := range ops {
+		known += b2i(!o.Output.(ending).unknown)
+	}
+	if known < 50 {
+		t.Errorf("%d writes with a known end of %d: nothing was tested", known, len(ops))
+	}
+	lists := func() (texts []string) {
+		for _, m := range all {
+			resp, err := http.Get("http://" + m.listen + "/registry/instances")
+			if err != nil {
+				return nil
+			}
+			text, _ := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			texts = append(texts, string(text))
+		}
+		return texts
+	}
+	eventually(t, "all replicas hold one list", func() bool {
+		x := lists()
+		return len(x) == 3 && x[0] == x[1] && x[1] == x[2]
+	})
+}
+
+// The judge catches histories that a broken state machine gives.
+func TestJudgeCatchesBrokenHistories(t *testing.T) {
+	run := func(apply func(*State, Command) Outcome) error {
+		s := NewState(0)
+		rng := rand.New(rand.NewPCG(1, 2))
+		var ops []porcupine.Operation
+		for i := range int64(400) {
+			w := write{kind: []string{Register, Register, Drain, Remove}[rng.IntN(4)], id: fmt.Sprint("s-", rng.IntN(3)), inc: 1 + rng.Uint64N(6) + uint64(i/80)}
+			c := Command{Kind: w.kind, ID: w.id, Incarnation: w.inc}
+			if w.kind == Register {
+				var n int
+				fmt.Sscanf(w.id, "s-%d", &n)
+				c.Entry = entry(w.id, 100+n)
+			}
+			o := apply(s, c)
+			ops = append(ops, porcupine.Operation{Input: w, Output: ending{code: o.Code, generation: o.Generation}, Call: 10 * i, Return: 10*i + 5})
+		}
+		return judge(ops)
+	}
+	if err := run((*State).Apply); err != nil {
+		t.Errorf("the right one: %v", err)
+	}
+	if run(func(s *State, c Command) Outcome {
+		if r := s.records[c.Entry.InstanceID]; c.Kind == Register && r != nil && c.Incarnation < r.Incarnation {
+			r.Incarnation = c.Incarnation
+			return s.commit(r.Entry)
+		}
+		return s.Apply(c)
+	}) == nil {
+		t.Error("an older incarnation accepted was not caught")
+	}
+	if run(func(s *State, c Command) Outcome {
+		o := s.Apply(c)
+		if o.Code == Done && c.Kind == Drain {
+			s.count--
+			o.Generation--
+		}
+		return o
+	}) == nil {
+		t.Error("a generation used twice was not caught")
+	}
+}
--- a/internal/registry/core.go
+++ b/internal/registry/core.go
@@ -104,6 +104,8 @@
 	Conflict Code = "conflict" // the same incarnation was registered otherwise
 	Invalid  Code = "invalid"  // the command can't be
 	TooMany  Code = "too-many" // the list is full
+	Later    Code = "later"    // not done: the service can\'t now
+	Unknown  Code = "unknown"  // it may have been done, or may be yet
 )
 
 // Outcome is the result of a command.
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -22,17 +22,20 @@
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 	"golang.org/x/time/rate"
 )
 
 // Config is what a replica of the list service is started with.
 type Config struct {
-	Dir     string        // of its state; made if it is not there
-	Listen  string        // HTTP: readers and writers
-	Raft    string        // the other replicas
-	Join    string        // HTTP address of a replica of a service to join; "": its own state, or a new service
-	Joins   float64       // watches that may be opened a second; 0: defaultJoins
-	Timeout time.Duration // without a word of the leader after which an election begins; 0: defaultTimeout
+	Dir     string            // of its state; made if it is not there
+	Listen  string            // HTTP: readers and writers
+	Raft    string            // the other replicas
+	Via     map[string]string // where this replica reaches another's Raft address, if not there
+	Join    string            // HTTP address of a replica of a service to join; "": its own state, or a new service
+	Joins   float64           // watches that may be opened a second; 0: defaultJoins
+	Timeout time.Duration     // without a word of the leader after which an election begins; 0: defaultTimeout
 	Log     *slog.Logger
 	Stores  func(raft.LogStore, raft.StableStore) (raft.LogStore, raft.StableStore) // around the durable ones; nil: as they are
 }
@@ -46,7 +49,7 @@
 	headWithin     = 3 * time.Second // for a request's head
 	beatEvery      = 2 * time.Second // a watch's empty line
 	mostRequest    = 16 << 10        // bytes of a write
-	shutWithin     = 2 * time.Second
+	lockWithin     = 2 * time.Second // for the log's file to be free
 	snapshotsKept  = 2
 )
 
@@ -116,10 +119,11 @@
 	if s.ln, err = net.Listen("tcp", cfg.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	trans, err := raft.NewTCPTransport(cfg.Raft, nil, 3, applyWithin, io.Discard)
+	between, err := net.Listen("tcp", cfg.Raft)
 	if err != nil {
-		return fmt.Errorf("raft address %s: %w", cfg.Raft, err)
+		return fmt.Errorf("raft address: %w", err)
 	}
+	trans := raft.NewNetworkTransport(stream{between, cfg.Via}, 3, applyWithin, io.Discard)
 	s.trans = trans
 	fresh := false
 	if s.id, fresh, err = identity(cfg.Dir, s.Addr()); err != nil {
@@ -129,7 +133,11 @@
 	if _, err := os.Stat(dbPath); !fresh && errors.Is(err, os.ErrNotExist) {
 		return fmt.Errorf("%s names replica %s and its log is gone: empty the folder and start it anew with --join", cfg.Dir, s.id)
 	}
-	if s.store, err = raftboltdb.NewBoltStore(dbPath); err != nil {
+	s.store, err = raftboltdb.New(raftboltdb.Options{Path: dbPath, BoltOptions: &bbolt.Options{Timeout: lockWithin}})
+	if errors.Is(err, bbolterrors.ErrTimeout) {
+		return fmt.Errorf("%s: another process has it open", dbPath)
+	}
+	if err != nil {
 		return damaged(dbPath, err)
 	}
 	var logs raft.LogStore = s.store
@@ -176,6 +184,21 @@
 	return nil
 }
 
+// stream is how replicas reach one another.
+type stream struct {
+	net.Listener
+	via map[string]string
+}
+
+// Dial implements raft.StreamLayer.
+func (s stream) Dial(address raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
+	addr := string(address)
+	if other, ok := s.via[addr]; ok {
+		addr = other
+	}
+	return net.DialTimeout("tcp", addr, timeout)
+}
+
 // damaged words an error of the replica's files with what mends it.
 func damaged(path string, err error) error {
 	return fmt.Errorf("%s: %w: if the file is damaged, empty the folder and start the replica anew with --join, or with `opalhook registry restore` where no other replica is left", path, err)
@@ -186,11 +209,15 @@
 	path := filepath.Join(dir, identityFile)
 	text, err := os.ReadFile(path)
 	if err == nil {
-		name, _, _ := strings.Cut(strings.TrimSpace(string(text)), "@")
-		if name == "" {
-			return "", false, fmt.Errorf("%s: is empty: empty the folder and start the replica anew with --join", path)
+		id = strings.TrimSpace(string(text))
+		name, at, _ := strings.Cut(id, "@")
+		switch {
+		case name == "" || at == "":
+			return "", false, fmt.Errorf("%s: is damaged: empty the folder and start the replica anew with --join", path)
+		case at != addr: // the others know it by that address
+			return "", false, fmt.Errorf("replica %s belongs to %s, not to %s: start it there, or dismiss it and start a new one with --join", name, at, addr)
 		}
-		return name + "@" + addr, false, nil
+		return id, false, nil
 	}
 	if !errors.Is(err, os.ErrNotExist) {
 		return "", false, fmt.Errorf("identity: %w", err)
@@ -249,12 +276,14 @@
 	if err := s.loadRestored(); err != nil {
 		return err
 	}
-	var held []Lease
-	s.machine.read(func(st *State) { held = st.Leased() })
-	s.mu.Lock()
-	s.leases = NewLeases(s.now(), held, defaultDoubt)
-	s.mu.Unlock()
-	s.log.Info("leads", "replica", s.id, "generation", s.machine.generation(), "leases", len(held))
+	held := 0
+	s.machine.read(func(st *State) { // no change may come between the look and the leases
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.leases = NewLeases(s.now(), st.Leased(), defaultDoubt)
+		held = len(s.leases.held)
+	})
+	s.log.Info("leads", "replica", s.id, "generation", s.machine.generation(), "leases", held)
 	return nil
 }
 
@@ -355,9 +384,6 @@
 	}
 }
 
-// errNoLeader is a write that found no leader here.
-var errNoLeader = errors.New("this replica does not lead")
-
 // commit brings a command through the log. After an error it may or may not have been done: it
 // may be sent again.
 func (s *Server) commit(c Command) (Outcome, error) {
@@ -367,9 +393,6 @@
 	}
 	f := s.raft.Apply(text, applyWithin)
 	if err := f.Error(); err != nil {
-		if errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrLeadershipLost) || errors.Is(err, raft.ErrLeadershipTransferInProgress) {
-			return Outcome{}, fmt.Errorf("%w: %v", errNoLeader, err)
-		}
 		return Outcome{}, err
 	}
 	return f.Response().(Outcome), nil
--- a/internal/registry/server_test.go
+++ b/internal/registry/server_test.go
@@ -281,6 +281,10 @@
 		t.Fatal(err)
 	}
 	same := func(c *Config) { c.Listen, c.Raft = addr, raftAt }
+	elsewhere := Config{Dir: dir, Listen: "127.0.0.1:0", Raft: raftAt, Log: slog.New(slog.DiscardHandler)}
+	if _, err := Start(t.Context(), elsewhere); err == nil || !strings.Contains(err.Error(), "belongs to "+addr) {
+		t.Errorf("a replica starts where the others don't know it: %v", err)
+	}
 	s = replica(t, dir, "", same)
 	eventually(t, "the state is back", func() bool { return s.machine.generation() == 2 })
 	if err := s.Close(); err != nil {
