Tell the holder half of what an ask with no answer may have changed

Counted at every node: of 17,149 asks 11,231 were heard and 9,387 answered. A member that sent unasked told its holder all the units, also where the ask was heard and granted and the answer lost: a tenth of all units counted twice. The test of that could not fail: the ask it delivered was the old one.

Change: the ask was lost or its answer, as likely one as the other; the member's sum takes the expectation, and all that is so when the answer comes late.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -230,11 +230,6 @@
 	if p.CeilingRate > 0 && !r.granted {
 		st.ceiling -= r.Units
 	}
-	if r.drawn && !g.deaf() {
-		st.settled -= r.Units // its holder learns of it with the next ask
-		r.owed = true
-		g.tellSettled(st, r.holder)
-	}
 	st.opened++
 	g.aro.sent[g.aro.slot()]++
 	g.retries = math.Min(g.retries+retryEarn, retryMost)
@@ -448,8 +443,16 @@
 	r.drawn = true
 	g.peers[r.holder].unanswered++
 	g.misses++
-	g.admit(r, g.rng.Float64() < g.passOf(r.store), askWait)
-	g.drew[r.num] = drawn{r.store, r.holder, r.Units, r.owed || len(r.attempts) == 0, g.now}
+	pass := g.passOf(r.store)
+	g.admit(r, g.rng.Float64() < pass, askWait)
+	d := drawn{store: r.store, holder: r.holder, units: r.Units, sent: len(r.attempts) > 0, at: g.now}
+	if !g.deaf() {
+		// The ask was lost or its answer, as likely one as the other: half of what either would change.
+		d.told = (d.owes(true)*pass + d.owes(false)*(2-pass)) / 2
+		r.store.settled += d.told
+		g.tellSettled(r.store, r.holder)
+	}
+	g.drew[r.num] = d
 }
 
 // passOf is the share of a customer's wants that can be granted, as far as is known: a customer of whom
@@ -464,16 +467,14 @@
 // deaf tells whether asks come to nothing whomever they go to: then none is waited for.
 func (g *Gateway) deaf() bool { return g.misses >= silentAsks }
 
-// tooLate takes in a grant of units for which no answer was waited any more: the holder has taken them.
+// tooLate takes in an answer that nobody waited for any more: it says what the holder has taken.
 func (g *Gateway) tooLate(from int, m ask) {
 	d, ok := g.drew[m.num]
 	if !ok || d.holder != from {
 		return
 	}
 	delete(g.drew, m.num)
-	if m.granted && d.back {
-		d.store.settled += d.units
-	}
+	d.store.settled += d.owes(m.granted) - d.told
 }
 
 // heed takes an ask of a member, the answer of a holder, or what a member gives back.
--- a/choice/state.go
+++ b/choice/state.go
@@ -60,7 +60,6 @@
 	out      int
 	inQuota  bool
 	drawn    bool // its ask came to nothing: sent by chance or not at all
-	owed     bool // sent so, for its holder to learn
 	again    bool // not to be asked for again
 	late     bool // asked for twice
 	granted  bool // by its holder, with its part of the ceiling
@@ -143,10 +142,22 @@
 	store  *store
 	holder int
 	units  float64
-	back   bool // a grant that comes late is to be given back
+	sent   bool
+	told   float64 // what its holder was told to add for it
 	at     time.Duration
 }
 
+// owes is what the holder must add to its store for it, granted by the holder or not.
+func (d *drawn) owes(granted bool) float64 {
+	switch {
+	case granted && !d.sent:
+		return d.units
+	case !granted && d.sent:
+		return -d.units
+	}
+	return 0
+}
+
 // bound keeps a holder's level between a whole burst owed and its part of one.
 func (st *store) bound(level, burst float64) float64 {
 	return math.Max(math.Min(level, burst/st.parts), -burst)
