Lab: show the datagrams lost, drop a count that nobody reads

Need: what the relays between nodes lose or an inbox refuses was counted and shown nowhere.

Change: the figure datagrams_lost; two fields that nothing read are gone.

Measured: go test ./internal/lab -run 'FaultsByCommand|Scenario' passes.

--- a/internal/lab/referee.go
+++ b/internal/lab/referee.go
@@ -98,7 +98,6 @@
 	slack      func(node int) time.Duration // what the machine did not give the node or the lab
 	inside     float64                      // units sent on inside quotas
 	beyond     float64
-	sendsOn    int
 }
 
 // Record is the life of one arrival, over all tries of its client.
@@ -118,7 +117,6 @@
 	Worth    float64 // inside the quota
 	Offered  float64 // what one gateway that saw all would let in
 	Unreach  int     // tries that reached no node
-	Units    float64
 	Lateness time.Duration // of the generator: from when it was due to when its client set about it
 }
 
@@ -139,7 +137,7 @@
 		q := &r.quotas[a.Customer]
 		q.offered = math.Min(q.offered+p.Rate*(a.At-q.offeredAt).Seconds(), p.Burst)
 		q.offeredAt = a.At
-		rec := Record{Due: a.At, Node: a.Node, Class: a.Class, Plan: c.Plan, Worth: worth, Units: a.Units}
+		rec := Record{Due: a.At, Node: a.Node, Class: a.Class, Plan: c.Plan, Worth: worth}
 		if q.offered >= a.Units {
 			q.offered -= a.Units
 			rec.Offered = worth
@@ -284,7 +282,6 @@
 		beyond = t.attempts[0].beyond
 	}
 	t.attempts = append(t.attempts, attemptTruth{server: server, beyond: beyond})
-	r.sendsOn++
 	w := r.work[server]
 	if w == nil {
 		w = map[int]float64{}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -616,6 +616,9 @@
 	for i := range w.ref.records {
 		all += w.ref.records[i].Tries
 	}
+	w.udp.mu.Lock()
+	carted := w.udp.carted
+	w.udp.mu.Unlock()
 	per := func(x float64, n int) float64 { return x / math.Max(float64(n), 1) }
 	return map[string]float64{
 		"goodput": worth / math.Max(offered, 1e-9), "served": per(float64(served), asked), "refused": per(float64(refused), tries),
@@ -623,7 +626,8 @@
 		"beyond_quota": w.ref.beyond / math.Max(w.ref.inside+w.ref.beyond, 1), "answers": float64(served + refused + failed),
 		"violations": float64(broken), "crashes": float64(w.crashes.Load()), "p50_ms": quantile(lat, 50).Seconds() * 1000,
 		"p99_ms": quantile(lat, 99).Seconds() * 1000, "lateness_ms": quantile(late, 99).Seconds() * 1000,
-		"connections": per(float64(w.connections.Load()), all), "memory_mb": float64(peak) / (1 << 20),
+		"datagrams_lost": per(float64(carted.lost+carted.refused), carted.sent),
+		"connections":    per(float64(w.connections.Load()), all), "memory_mb": float64(peak) / (1 << 20),
 		"cpu_us": per(float64(cpu.Microseconds()), all), "servers_fell": float64(w.serversFell.Load()), "worst_second": worst,
 	}
 }
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -164,6 +164,7 @@
 	"p50_ms":         "median time from due to answer, of what was served",
 	"p99_ms":         "99th percentile of the same",
 	"lateness_ms":    "99th percentile of how late the generator sent",
+	"datagrams_lost": "share of the datagrams between nodes that did not arrive",
 	"connections":    "new connections to app servers for each try",
 	"memory_mb":      "largest resident memory of a node",
 	"cpu_us":         "CPU time of the nodes for each try",
