--- a/internal/lab/referee.go
+++ b/internal/lab/referee.go
@@ -113,10 +113,10 @@
 	Failed   int
 	Room     int // of the refused ones, with half of the quota unused
 	Served   bool
-	InQuota  bool    // the try that was served was inside the quota
-	Worth    float64 // inside the quota
-	Offered  float64 // what one gateway that saw all would let in
-	Unreach  int     // tries that reached no node
+	InQuota  bool          // the try that was served was inside the quota
+	Worth    float64       // inside the quota
+	Offered  float64       // what one gateway that saw all would let in
+	Unreach  int           // tries that reached no node
 	Lateness time.Duration // of the generator: from when it was due to when its client set about it
 }
 
