Give the list service reads that are linearizable, and leaderships their own leases

A replica that lost its lead and had it back before it noticed would have gone on with the leases of its earlier leadership: an entry renewed at the leader in between could have been expired early. Leases now carry the term that they are of, and an expiry of another term is refused by the state machine. A leader that could not take over tries again.

Replicas now greet each other by name; a joining replica at the address of a known one is told to have that one dismissed.

GET /registry/instances/ID and 'opalhook registry show' read one instance after the quorum confirmed the leader; the histories hold reads beside writes.

--- a/cmd/opalhook/registry.go
+++ b/cmd/opalhook/registry.go
@@ -36,7 +36,7 @@
 	bound := func(c *cobra.Command) (context.Context, context.CancelFunc) {
 		return context.WithTimeout(c.Context(), within)
 	}
-	c.AddCommand(registryServe(s), registryList(s, client, bound), registryWatch(s, client), registryRegister(s, client, bound),
+	c.AddCommand(registryServe(s), registryList(s, client, bound), registryShow(s, client, bound), registryWatch(s, client), registryRegister(s, client, bound),
 		registryChange(s, client, bound, "drain", "Let an instance finish what it has", (*registry.Client).Drain),
 		registryChange(s, client, bound, "remove", "Take an instance out of the list", (*registry.Client).Remove),
 		registryChange(s, client, bound, "renew", "Extend an instance's lease by its term", (*registry.Client).Renew),
@@ -99,6 +99,33 @@
 	}
 }
 
+func registryShow(s *settings, client func() *registry.Client, bound func(*cobra.Command) (context.Context, context.CancelFunc)) *cobra.Command {
+	return &cobra.Command{
+		Use:     "show ID",
+		Short:   "Show one instance as all acknowledged writes have left it",
+		Example: "  opalhook registry show s-1 -o json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			ctx, cancel := bound(c)
+			defer cancel()
+			st, err := client().Show(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			if s.json() {
+				return writeJSON(c.OutOrStdout(), st)
+			}
+			lease := "none"
+			if st.LeaseMs > 0 {
+				lease = (time.Duration(st.LeaseMs) * time.Millisecond).String()
+			}
+			_, err = fmt.Fprintf(c.OutOrStdout(), "%s %s %s, zone %s, incarnation %d, lease %s, generation %d\n",
+				st.InstanceID, st.HostPort, st.Lifecycle, st.Zone, st.Incarnation, lease, st.Generation)
+			return err
+		},
+	}
+}
+
 func registryWatch(s *settings, client func() *registry.Client) *cobra.Command {
 	var from uint64
 	c := &cobra.Command{
--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -51,6 +52,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /registry/instances", s.read)
 	m.HandleFunc("POST /registry/instances", s.register)
+	m.HandleFunc("GET /registry/instances/{id}", s.show)
 	m.HandleFunc("POST /registry/instances/{id}/renew", s.renew)
 	m.HandleFunc("POST /registry/instances/{id}/drain", s.change(Drain))
 	m.HandleFunc("DELETE /registry/instances/{id}", s.change(Remove))
@@ -190,8 +192,7 @@
 		return
 	}
 	at := s.now() // the lease runs from before the quorum was asked
-	if err := s.raft.VerifyLeader().Error(); err != nil {
-		later(w, "the leader has changed; renew again")
+	if !s.confirmed(w) {
 		return
 	}
 	var term time.Duration
@@ -212,6 +213,41 @@
 	s.writes.WithLabelValues("renew", string(code)).Inc()
 }
 
+// confirmed asks the quorum whether this replica leads, after it was asked for something; if it
+// does not, or has not applied yet what its predecessors committed, the client is told.
+func (s *Server) confirmed(w http.ResponseWriter) bool {
+	if s.raft.VerifyLeader().Error() == nil && s.ready() {
+		return true
+	}
+	later(w, "the leader has changed; ask again")
+	return false
+}
+
+// Standing is an instance as it stands at a generation.
+type Standing struct {
+	Registration
+	Generation uint64 `json:"generation"`
+}
+
+// show answers with one instance as all writes have left it that were acknowledged before.
+func (s *Server) show(w http.ResponseWriter, r *http.Request) {
+	if !s.toLeader(w, r) || !s.confirmed(w) {
+		return
+	}
+	var st Standing
+	known := false
+	s.machine.read(func(m *State) {
+		st.Registration, known = m.Find(r.PathValue("id"))
+		st.Generation = m.Generation()
+	})
+	if !known {
+		problem(w, http.StatusNotFound, Missing, "%s is not registered", clip(r.PathValue("id")))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(st)
+}
+
 // read answers the list or a watch, in the platform's form.
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
@@ -335,8 +371,7 @@
 	if !s.toLeader(w, r) {
 		return
 	}
-	if err := s.raft.VerifyLeader().Error(); err != nil {
-		later(w, "the leader has changed; ask again")
+	if !s.confirmed(w) {
 		return
 	}
 	var text []byte
@@ -359,6 +394,15 @@
 		problem(w, http.StatusBadRequest, Invalid, "id, raft: both are wanted")
 		return
 	}
+	at, _, _ := strings.Cut(rep.Raft, nameMark)
+	if f := s.raft.GetConfiguration(); f.Error() == nil {
+		for _, x := range f.Configuration().Servers {
+			if other, _, _ := strings.Cut(string(x.Address), nameMark); other == at && string(x.ID) != rep.ID {
+				problem(w, http.StatusConflict, Taken, "%s is the address of %s; if that is gone: opalhook registry dismiss %s", at, x.ID, x.ID)
+				return
+			}
+		}
+	}
 	if err := s.raft.AddVoter(raft.ServerID(rep.ID), raft.ServerAddress(rep.Raft), 0, applyWithin).Error(); err != nil {
 		later(w, "adding %s: %v", rep.ID, err)
 		return
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -128,6 +128,18 @@
 	return c.outcome(ctx, http.MethodDelete, ownerPath(o, ""), nil)
 }
 
+// Show is one instance as it stands after all writes that were acknowledged before the call.
+func (c *Client) Show(ctx context.Context, id string) (st Standing, err error) {
+	text, err := c.do(ctx, http.MethodGet, "/registry/instances/"+url.PathEscape(id), nil)
+	if err != nil {
+		return st, err
+	}
+	if err := json.Unmarshal(text, &st); err != nil {
+		return st, fmt.Errorf("instance: %w", err)
+	}
+	return st, nil
+}
+
 // RemoveReplica takes a replica out of the service.
 func (c *Client) RemoveReplica(ctx context.Context, id string) (Outcome, error) {
 	return c.outcome(ctx, http.MethodDelete, "/registry/replicas/"+url.PathEscape(id), nil)
--- a/internal/registry/cluster_test.go
+++ b/internal/registry/cluster_test.go
@@ -187,6 +187,7 @@
 	code       Code
 	generation uint64
 	unknown    bool
+	seen       life1 // of a read
 }
 
 // life1 is what the list knows of one instance, as the page of its writes promises.
@@ -195,6 +196,9 @@
 	inc, gone     uint64
 }
 
+// readKind is an operation that reads one instance at the leader.
+const readKind = "read"
+
 // promised is the sequential specification of the writes of one instance. It is written apart
 // from the state machine.
 func promised(s life1, w write) (life1, Code) {
@@ -238,8 +242,11 @@
 	},
 	Init: func() any { return life1{} },
 	Step: func(state, input, output any) (bool, any) {
-		next, code := promised(state.(life1), input.(write))
 		end := output.(ending)
+		if now := state.(life1); input.(write).kind == readKind {
+			return end.unknown || end.seen == life1{here: now.here, drained: now.drained, inc: now.inc}, now
+		}
+		next, code := promised(state.(life1), input.(write))
 		return end.unknown || end.code == code, next
 	},
 	Equal: func(a, b any) bool { return a == b },
@@ -263,14 +270,14 @@
 					return
 				default:
 				}
-				w := write{kind: []string{Register, Register, Drain, Remove}[rng.IntN(4)], id: fmt.Sprint("s-", rng.IntN(8)), inc: 1 + rng.Uint64N(1000)/100 + uint64(time.Since(began)/(500*time.Millisecond))}
+				w := write{kind: []string{Register, Register, Drain, Remove, readKind, readKind}[rng.IntN(6)], id: fmt.Sprint("s-", rng.IntN(8)), inc: 1 + rng.Uint64N(1000)/100 + uint64(time.Since(began)/(500*time.Millisecond))}
 				op := porcupine.Operation{ClientId: client, Input: w, Call: time.Since(began).Nanoseconds()}
 				end := send(hc, all[rng.IntN(len(all))].listen, w)
 				op.Output, op.Return = end, time.Since(began).Nanoseconds()
 				if end.unknown {
 					op.Return = never // it may be done at any time yet
 				}
-				if end.code != Later {
+				if end.code != Later && (w.kind != readKind || !end.unknown) {
 					mu.Lock()
 					ops = append(ops, op)
 					mu.Unlock()
@@ -295,6 +302,8 @@
 		var n int
 		fmt.Sscanf(w.id, "s-%d", &n)
 		req, err = http.NewRequest("POST", base, bytes.NewReader([]byte(registration(w.id, 100+n, int(w.inc), 0))))
+	case readKind:
+		req, err = http.NewRequest("GET", base+"/"+w.id, nil)
 	case Drain:
 		req, err = http.NewRequest("POST", fmt.Sprintf("%s/%s/drain?incarnation=%d", base, w.id, w.inc), nil)
 	default:
@@ -319,6 +328,13 @@
 	if resp.StatusCode == http.StatusTemporaryRedirect {
 		return ending{code: Later} // in a circle
 	}
+	if w.kind == readKind && resp.StatusCode == http.StatusOK {
+		var st Standing
+		if err := json.Unmarshal(text, &st); err != nil {
+			return ending{unknown: true}
+		}
+		return ending{code: Same, seen: life1{here: true, drained: st.Lifecycle == Draining, inc: st.Incarnation}}
+	}
 	return ending{code: o.Code, generation: o.Generation}
 }
 
--- a/internal/registry/core.go
+++ b/internal/registry/core.go
@@ -82,6 +82,7 @@
 	Incarnation uint64        `json:"incarnation,omitempty"` // 0 with drain and remove: whichever is there
 	Lease       time.Duration `json:"lease,omitempty"`       // of register; 0: the entry stays until it is removed
 	Expired     []Owner       `json:"expired,omitempty"`     // of expire
+	Term        uint64        `json:"term,omitempty"`        // of expire: the leadership that found them run out
 	Image       *State        `json:"image,omitempty"`       // of load
 }
 
@@ -104,7 +105,7 @@
 	Conflict Code = "conflict" // the same incarnation was registered otherwise
 	Invalid  Code = "invalid"  // the command can't be
 	TooMany  Code = "too-many" // the list is full
-	Later    Code = "later"    // not done: the service can\'t now
+	Later    Code = "later"    // not done: the service can't now
 	Unknown  Code = "unknown"  // it may have been done, or may be yet
 )
 
@@ -432,6 +433,15 @@
 	return r.Lease, Done
 }
 
+// Find returns the registration of an instance as it stands; ok is false where there is none.
+func (s *State) Find(id string) (reg Registration, ok bool) {
+	r := s.records[id]
+	if r == nil {
+		return Registration{}, false
+	}
+	return Registration{r.Entry, r.Incarnation, r.Lease.Milliseconds()}, true
+}
+
 // image is a state as a snapshot keeps it.
 type image struct {
 	Format  int         `json:"format"`
--- a/internal/registry/machine.go
+++ b/internal/registry/machine.go
@@ -44,6 +44,10 @@
 	if err := json.Unmarshal(l.Data, &c); err != nil {
 		return Outcome{Code: Invalid, Message: fmt.Sprintf("command: %v", err)}
 	}
+	if c.Kind == Expire && c.Term != l.Term {
+		// Another led since these were found to have run out, and may have taken their renewals.
+		return Outcome{Code: Stale, Message: "leases of another leadership"}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o := m.state.Apply(c)
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -50,6 +50,7 @@
 	beatEvery      = 2 * time.Second // a watch's empty line
 	mostRequest    = 16 << 10        // bytes of a write
 	lockWithin     = 2 * time.Second // for the log's file to be free
+	takeOverAgain  = time.Second     // pause before a leader that could not take over tries again
 	snapshotsKept  = 2
 )
 
@@ -72,6 +73,7 @@
 
 	mu     sync.Mutex
 	leases *Leases // nil where this replica does not lead
+	term   uint64  // of the leadership that the leases are of
 	wake   chan struct{}
 
 	watches  atomic.Int64
@@ -116,19 +118,25 @@
 // start opens everything; Close closes what it opened.
 func (s *Server) start() (err error) {
 	cfg := s.cfg
-	if s.ln, err = net.Listen("tcp", cfg.Listen); err != nil {
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	s.ln = smallBuffers{ln}
 	between, err := net.Listen("tcp", cfg.Raft)
 	if err != nil {
 		return fmt.Errorf("raft address: %w", err)
 	}
-	trans := raft.NewNetworkTransport(stream{between, cfg.Via}, 3, applyWithin, io.Discard)
-	s.trans = trans
 	fresh := false
 	if s.id, fresh, err = identity(cfg.Dir, s.Addr()); err != nil {
+		between.Close()
 		return err
 	}
+	name, _, _ := strings.Cut(s.id, "@")
+	links := stream{between, name, cfg.Via}
+	trans := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: links, MaxPool: 3, Timeout: applyWithin,
+		Logger: quietLogger()})
+	s.trans = trans
 	dbPath := filepath.Join(cfg.Dir, logFile)
 	if _, err := os.Stat(dbPath); !fresh && errors.Is(err, os.ErrNotExist) {
 		return fmt.Errorf("%s names replica %s and its log is gone: empty the folder and start it anew with --join", cfg.Dir, s.id)
@@ -184,21 +192,6 @@
 	return nil
 }
 
-// stream is how replicas reach one another.
-type stream struct {
-	net.Listener
-	via map[string]string
-}
-
-// Dial implements raft.StreamLayer.
-func (s stream) Dial(address raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
-	addr := string(address)
-	if other, ok := s.via[addr]; ok {
-		addr = other
-	}
-	return net.DialTimeout("tcp", addr, timeout)
-}
-
 // damaged words an error of the replica's files with what mends it.
 func damaged(path string, err error) error {
 	return fmt.Errorf("%s: %w: if the file is damaged, empty the folder and start the replica anew with --join, or with `opalhook registry restore` where no other replica is left", path, err)
@@ -247,20 +240,24 @@
 // expires what has run out.
 func (s *Server) lead() {
 	for {
+		var again <-chan time.Time // a leader that has not taken over yet
+		if s.raft.State() == raft.Leader && !s.ready() {
+			again = time.After(takeOverAgain)
+		}
 		select {
 		case <-s.ctx.Done():
 			return
 		case leads := <-s.raft.LeaderCh():
+			s.mu.Lock()
+			s.leases = nil
+			s.mu.Unlock()
 			if !leads {
-				s.mu.Lock()
-				s.leases = nil
-				s.mu.Unlock()
 				s.log.Info("leads no more", "replica", s.id)
 				continue
 			}
-			if err := s.takeOver(); err != nil {
-				s.log.Warn("taking over", "err", err)
-			}
+			s.takeOver()
+		case <-again:
+			s.takeOver()
 		case <-s.wake:
 		case <-time.After(s.untilDue()):
 		}
@@ -268,23 +265,34 @@
 	}
 }
 
+// ready tells whether this replica has taken over the leadership that it is in: it has applied
+// all that was committed before, and its leases are no earlier leadership's. Whether it still
+// leads only its quorum can say.
+func (s *Server) ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leases != nil && s.term == s.raft.CurrentTerm()
+}
+
 // takeOver begins a leader's work once all that its predecessors committed is applied here.
-func (s *Server) takeOver() error {
-	if err := s.raft.Barrier(applyWithin).Error(); err != nil {
-		return err
+func (s *Server) takeOver() {
+	term := s.raft.CurrentTerm()
+	err := s.raft.Barrier(applyWithin).Error()
+	if err == nil {
+		err = s.loadRestored()
 	}
-	if err := s.loadRestored(); err != nil {
-		return err
+	if err != nil {
+		s.log.Warn("taking over", "err", err)
+		return
 	}
 	held := 0
 	s.machine.read(func(st *State) { // no change may come between the look and the leases
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.leases = NewLeases(s.now(), st.Leased(), defaultDoubt)
+		s.leases, s.term = NewLeases(s.now(), st.Leased(), defaultDoubt), term
 		held = len(s.leases.held)
 	})
-	s.log.Info("leads", "replica", s.id, "generation", s.machine.generation(), "leases", held)
-	return nil
+	s.log.Info("leads", "replica", s.id, "term", term, "generation", s.machine.generation(), "leases", held)
 }
 
 // loadRestored puts a restored state into the log, once.
@@ -329,7 +337,7 @@
 // expireDue brings what has run out through the log.
 func (s *Server) expireDue() {
 	s.mu.Lock()
-	l := s.leases
+	l, term := s.leases, s.term
 	if l == nil {
 		s.mu.Unlock()
 		return
@@ -344,7 +352,7 @@
 	if len(due) == 0 {
 		return
 	}
-	o, err := s.commit(Command{Kind: Expire, Expired: due})
+	o, err := s.commit(Command{Kind: Expire, Expired: due, Term: term})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil || o.Code != Done {
--- a/internal/registry/server_test.go
+++ b/internal/registry/server_test.go
@@ -261,7 +261,8 @@
 func raftAddr(s *Server) string {
 	for _, r := range s.raft.GetConfiguration().Configuration().Servers {
 		if string(r.ID) == s.id {
-			return string(r.Address)
+			addr, _, _ := strings.Cut(string(r.Address), nameMark)
+			return addr
 		}
 	}
 	return ""
