Prove wiped, added and dismissed replicas, lagging readers, mute and slow clients

The histories under faults held writes alone and no replica that came or went. A replica that is wiped under writes is not taken for the one that it was, comes back as a new one, and the leader is dismissed; a reader ahead of a cut-off replica is turned away there; 2,200 mute or slow connections are closed and a watch that does not read is dropped, beside a watch that goes on; a log whose fsync fails is not acknowledged and is done once when sent again; reads are judged beside writes. The lab's scenarios may name list_replicas: the project's own service then tells the nodes, and list-kill ends its leader.

--- a/cmd/opalhook/lab.go
+++ b/cmd/opalhook/lab.go
@@ -53,6 +53,10 @@
 			if dir == "" {
 				dir = filepath.Join("runs", fmt.Sprintf("%s-%d", sc.Name, seed))
 			}
+			self, err := os.Executable()
+			if err != nil {
+				return fmt.Errorf("this program's path: %w", err)
+			}
 			path, err := lab.FindNode(c.Context(), binary, dir)
 			if err != nil {
 				return err
@@ -64,7 +68,7 @@
 				if runs > 1 {
 					at = filepath.Join(dir, strconv.FormatUint(seed+uint64(i), 10))
 				}
-				r, err := lab.Run(c.Context(), sc, lab.Options{Seed: seed + uint64(i), Binary: path, Dir: at, Log: s.logger(), Control: control, Live: live(os.Stderr)})
+				r, err := lab.Run(c.Context(), sc, lab.Options{Seed: seed + uint64(i), Binary: path, Service: self, Dir: at, Log: s.logger(), Control: control, Live: live(os.Stderr)})
 				if err != nil {
 					return err
 				}
--- a/cmd/opalhook/main.go
+++ b/cmd/opalhook/main.go
@@ -73,6 +73,6 @@
 	}
 	c.PersistentFlags().StringVarP(&s.output, "output", "o", "text", "how results are written: text or json")
 	c.PersistentFlags().BoolVarP(&s.verbose, "verbose", "v", false, "log what goes on, not only what goes wrong")
-	c.AddCommand(labCommand(&s), registryCommand(&s), upCommand(&s))
+	c.AddCommand(agentCommand(&s), labCommand(&s), registryCommand(&s), upCommand(&s))
 	return c
 }
--- /dev/null
+++ b/internal/agent/core_test.go
@@ -0,0 +1,324 @@
+package agent
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func server(n int, state string) Entry {
+	return Entry{InstanceID: fmt.Sprint("s-", n), HostPort: fmt.Sprintf("127.0.0.1:%d", 1000+n), Lifecycle: state, Weight: 1}
+}
+
+func whole(generation uint64, n int) Message {
+	m := Message{Generation: generation, Reset: true}
+	for i := range n {
+		m.Instances = append(m.Instances, server(i, Up))
+	}
+	return m
+}
+
+// fataler is what a rig needs of a test, or of rapid's.
+type fataler interface {
+	Helper()
+	Fatal(...any)
+	Errorf(string, ...any)
+}
+
+// rig drives a follower by hand: it plays the host.
+type rig struct {
+	t         fataler
+	f         *Follower
+	now       time.Duration
+	opened    []Action
+	asked     []Action
+	published []Message
+	notes     []string
+}
+
+func newRig(t fataler, replicas ...string) *rig {
+	r := &rig{t: t, f: NewFollower(0, "m", replicas, DefaultRules(), 1)}
+	r.take()
+	return r
+}
+
+func (r *rig) take() {
+	for _, a := range r.f.Take() {
+		switch a.Kind {
+		case Open:
+			r.opened = append(r.opened, a)
+		case Ask:
+			r.asked = append(r.asked, a)
+		case Publish:
+			r.published = append(r.published, a.List)
+		case Note:
+			r.notes = append(r.notes, a.Text)
+		}
+	}
+}
+
+// wait lets time pass in small steps.
+func (r *rig) wait(d time.Duration) {
+	for end := r.now + d; r.now < end; {
+		r.now = max(min(end, r.f.Next()), r.now+time.Millisecond)
+		r.f.Tick(r.now)
+		r.take()
+	}
+}
+
+// connect waits for the next call and answers it.
+func (r *rig) connect() Action {
+	r.t.Helper()
+	for n := len(r.opened); len(r.opened) == n; r.wait(10 * time.Millisecond) {
+		if r.now > time.Hour {
+			r.t.Fatal("no call in an hour")
+		}
+	}
+	a := r.opened[len(r.opened)-1]
+	r.f.Opened(r.now, a.Call)
+	return a
+}
+
+func (r *rig) hear(m Message) {
+	r.f.Heard(r.now, r.f.call, m)
+	r.take()
+}
+
+func (r *rig) held() (string, uint64) {
+	m, _, _ := r.f.Held(r.now)
+	s := ""
+	for _, e := range m.Instances {
+		s += e.InstanceID + ":" + e.Lifecycle + " "
+	}
+	return s, m.Generation
+}
+
+func (r *rig) wants(servers int, generation uint64) {
+	r.t.Helper()
+	m, _, _ := r.f.Held(r.now)
+	if len(m.Instances) != servers || m.Generation != generation {
+		r.t.Errorf("%d servers at %d are published, not %d at %d; notes %q", len(m.Instances), m.Generation, servers, generation, r.notes)
+	}
+}
+
+// Whatever replicas say, in whatever order, versions never go back for the nodes, and what they
+// get by changes is what a whole list would give.
+func TestVersionsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(t, "a", "b", "c")
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		nodes, at := map[string]Entry{}, uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rng.IntN(7) {
+			case 0:
+				r.connect()
+			case 1, 2:
+				m := whole(uint64(rng.IntN(2))<<epochBits|uint64(rng.IntN(40)), rng.IntN(10))
+				r.hear(m)
+			case 3, 4:
+				r.hear(Message{Generation: r.f.current().generation + uint64(rng.IntN(3)), Instances: []Entry{server(rng.IntN(10), []string{Up, Draining, Removed}[rng.IntN(3)])}})
+			case 5:
+				r.f.Failed(r.now, r.f.call, time.Duration(rng.IntN(3))*time.Second, "ended")
+				r.take()
+			case 6:
+				r.wait(time.Duration(rng.IntN(5000)) * time.Millisecond)
+			}
+			for _, a := range r.asked {
+				r.f.Answered(r.now, a.Replica, whole(uint64(rng.IntN(40)), rng.IntN(10)), nil)
+			}
+			r.asked = nil
+			r.take()
+			for _, m := range r.published {
+				if m.Generation <= at {
+					t.Fatalf("version %d after %d", m.Generation, at)
+				}
+				if m.Reset != (at == 0 || Epoch(m.Generation) != Epoch(at)) {
+					t.Fatalf("version %d after %d: reset is %v", m.Generation, at, m.Reset)
+				}
+				if m.Reset {
+					clear(nodes)
+				}
+				for _, e := range m.Instances {
+					if nodes[e.InstanceID] = e; e.Lifecycle == Removed {
+						delete(nodes, e.InstanceID)
+					}
+				}
+				at = m.Generation
+			}
+			r.published = nil
+			if !maps.Equal(nodes, r.f.published.entries) {
+				t.Fatalf("nodes hold %v, published is %v", nodes, r.f.published.entries)
+			}
+		}
+	})
+}
+
+// A replica that lags, or whose list is another's, is left for the next one.
+func TestLaggingReplicaIsLeft(t *testing.T) {
+	r := newRig(t, "a", "b", "c")
+	first := r.connect()
+	r.hear(whole(20, 10))
+	r.f.Failed(r.now, r.f.call, 0, "gone")
+	second := r.connect()
+	if second.Replica == first.Replica || second.From != 20 {
+		t.Errorf("after a failure %+v is called", second)
+	}
+	r.hear(whole(19, 10))
+	third := r.connect()
+	if third.Replica == second.Replica {
+		t.Errorf("a replica that says the past is called again")
+	}
+	r.hear(Message{Generation: 21, Instances: []Entry{server(3, Draining)}})
+	r.wants(10, 21)
+	r.hear(Message{Generation: 1<<epochBits | 5, Instances: []Entry{server(4, Draining)}}) // a change to a list that is not held
+	r.connect()
+	r.hear(whole(1<<epochBits|2, 9)) // restored
+	r.wants(9, 1<<epochBits|2)
+	if m := r.published[len(r.published)-1]; !m.Reset {
+		t.Error("a new epoch is not told as a whole list")
+	}
+	for range 3 { // the old epoch is over, at whichever replica
+		r.f.Failed(r.now, r.f.call, 0, "gone")
+		r.connect()
+		r.hear(whole(25, 10))
+	}
+	r.wants(9, 1<<epochBits|2)
+}
+
+// An empty list, or one that lost many servers, waits for a second replica or for time.
+func TestShrunkenListIsDoubted(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer   func(r *rig, ask Action)
+		servers  int
+		doubtFor time.Duration
+	}{
+		"agreed":       {func(r *rig, ask Action) { r.f.Answered(r.now, ask.Replica, whole(11, 0), nil) }, 0, 0},
+		"contradicted": {func(r *rig, ask Action) { r.f.Answered(r.now, ask.Replica, whole(12, 10), nil) }, 10, time.Hour},
+		"no answer":    {func(r *rig, ask Action) { r.f.Answered(r.now, ask.Replica, Message{}, fmt.Errorf("down")) }, 0, DefaultRules().DoubtFor},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, "a", "b", "c")
+			r.connect()
+			r.hear(whole(10, 10))
+			r.wait(2 * time.Second)
+			r.hear(whole(11, 0))
+			r.wants(10, 10)
+			if len(r.asked) != 1 {
+				t.Fatalf("asked %v", r.asked)
+			}
+			c.answer(r, r.asked[0])
+			r.take()
+			if name == "contradicted" {
+				r.connect()
+				r.hear(Message{Generation: 12, Instances: []Entry{server(1, Draining)}})
+				r.wants(10, 12)
+				return
+			}
+			for end := r.now + c.doubtFor; r.now < end; {
+				r.wants(10, 10)
+				r.f.Beat(r.now, r.f.call)
+				r.wait(time.Second)
+			}
+			r.wait(DefaultRules().Settle + time.Millisecond)
+			r.wants(c.servers, 11)
+		})
+	}
+	r := newRig(t, "a", "b")
+	r.connect()
+	r.hear(whole(10, 10))
+	for n := range 10 { // one by one, faster than servers die
+		r.hear(Message{Generation: uint64(11 + n), Instances: []Entry{server(n, Draining)}})
+	}
+	if m, _, _ := r.f.Held(r.now); !r.f.Doubts() || (view{entries: map[string]Entry{}}).after(m).up() < 6 {
+		t.Error("a list that shrinks change by change is not doubted")
+	}
+}
+
+// A server that is gone and back at once is no news; one that stays away is.
+func TestFlapIsNoNews(t *testing.T) {
+	r := newRig(t, "a", "b")
+	r.connect()
+	r.hear(whole(10, 10))
+	n := len(r.published)
+	for g := uint64(11); g < 31; g += 2 {
+		r.hear(Message{Generation: g, Instances: []Entry{server(3, Removed)}})
+		r.wait(300 * time.Millisecond)
+		r.hear(Message{Generation: g + 1, Instances: []Entry{server(3, Up)}})
+		r.wait(time.Second)
+		r.f.Beat(r.now, r.f.call)
+	}
+	if len(r.published) != n {
+		t.Errorf("a flapping server is told %d times", len(r.published)-n)
+	}
+	r.hear(Message{Generation: 40, Instances: []Entry{server(3, Removed)}})
+	r.wait(DefaultRules().Settle + time.Millisecond)
+	r.wants(9, 40)
+	r.hear(Message{Generation: 41, Instances: []Entry{server(4, Draining)}})
+	r.hear(Message{Generation: 42, Instances: []Entry{server(4, Removed)}}) // it drained first: gone at once
+	r.wants(8, 42)
+	moved := server(5, Up)
+	moved.HostPort = "127.0.0.2:7"
+	r.hear(Message{Generation: 43, Instances: []Entry{moved}})
+	if m := r.published[len(r.published)-1]; len(m.Instances) != 1 || m.Instances[0] != moved {
+		t.Errorf("a server that moved is told as %+v", m)
+	}
+}
+
+// While nobody answers, what is held stays, and calls keep to the budget, the service's advice
+// and drawn pauses.
+func TestOutageCostsLittle(t *testing.T) {
+	var at []time.Duration
+	for seed := range uint64(100) {
+		f := NewFollower(0, fmt.Sprint("m", seed), []string{"a", "b", "c"}, DefaultRules(), seed)
+		r := &rig{t: t, f: f}
+		r.connect()
+		r.hear(whole(10, 10))
+		f.Failed(r.now, f.call, 0, "gone")
+		for start := r.now; r.now < start+time.Hour; r.wait(50 * time.Millisecond) {
+			if n := len(r.opened); n > 0 && !f.waiting {
+				at = append(at, r.now-start)
+				f.Failed(r.now, f.call, 2*time.Second, "refused")
+				r.take()
+			}
+		}
+		r.wants(10, 10)
+	}
+	perHour := float64(len(at)) / 100
+	if perHour > 1900 || perHour < 300 {
+		t.Errorf("%.0f calls of a follower in an hour's outage", perHour)
+	}
+	bySecond := map[int]int{}
+	for _, t := range at {
+		bySecond[int(t/time.Second)]++
+	}
+	if worst := slices.Max(slices.Collect(maps.Values(bySecond))); worst > 100 {
+		t.Errorf("%d calls of 100 followers in one second", worst)
+	}
+}
+
+// Followers spread evenly over replicas, and those of one that is gone over the others.
+func TestRankSpreads(t *testing.T) {
+	first, second := map[string]int{}, map[string]int{}
+	for n := range 3000 {
+		r := Rank(fmt.Sprint("machine-", n), []string{"127.0.0.1:8500", "127.0.0.2:8500", "127.0.0.3:8500"})
+		first[r[0]]++
+		if r[0] == "127.0.0.1:8500" {
+			second[r[1]]++
+		}
+	}
+	for r, n := range first {
+		if n < 900 || n > 1100 {
+			t.Errorf("%s is first for %d of 3000", r, n)
+		}
+	}
+	for r, n := range second {
+		if n < 420 || n > 580 {
+			t.Errorf("%s is second for %d of 1000", r, n)
+		}
+	}
+}
--- a/internal/lab/list.go
+++ b/internal/lab/list.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // Entry is an app server in the list, in the form of the platform's protocol.
@@ -47,10 +49,20 @@
 	more       chan struct{}    // closed at the next change
 	late       time.Duration    // beyond the scenario's own
 	down       bool
+	service    *service                // where the list is kept if not here; nil: here
+	happened   map[happening]time.Time // when the list took each change in
+	numbers    map[string]int          // of the servers, by the names that they have had
+	told       *hdrhistogram.Histogram // microseconds from there to each node's being told
+}
+
+// happening is one change of one start of an app server.
+type happening struct {
+	id, lifecycle string
+	started       int64
 }
 
 func newList(w *world) *list {
-	return &list{w: w, entries: map[string]Entry{}, more: make(chan struct{})}
+	return &list{w: w, entries: map[string]Entry{}, more: make(chan struct{}), happened: map[happening]time.Time{}, numbers: map[string]int{}, told: newHistogram()}
 }
 
 // changed takes in an entry, once discovery has noticed.
@@ -67,6 +79,10 @@
 	defer l.mu.Unlock()
 	l.generation++
 	l.log = append(l.log, e)
+	l.happened[happening{e.InstanceID, e.Lifecycle, e.StartedAtMs}], l.numbers[e.InstanceID] = time.Now(), e.number
+	if l.service != nil {
+		l.service.put(e)
+	}
 	if e.Lifecycle == "removed" {
 		delete(l.entries, e.InstanceID)
 	} else {
@@ -100,6 +116,51 @@
 	return m, l.more
 }
 
+// known is the list that a node starts with. The list service numbers its versions itself, and
+// tells the whole list to one that holds none.
+func (l *list) known() listMessage {
+	m, _ := l.since(0, true)
+	if l.service != nil {
+		m.Generation = 0
+	}
+	return m
+}
+
+// heard books how late a node was told of changes; what comes as a whole list is none.
+func (l *list) heard(m listMessage) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range m.Instances {
+		if at, ok := l.happened[happening{e.InstanceID, e.Lifecycle, e.StartedAtMs}]; ok && !m.Reset {
+			record(l.told, now.Sub(at))
+		}
+	}
+}
+
+// right counts the nodes that have been told of the list as it is.
+func (l *list) right() (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.w.ref.mu.Lock()
+	defer l.w.ref.mu.Unlock()
+	for _, told := range l.w.ref.told {
+		same := true
+		for id, k := range told {
+			e, listed := l.entries[id]
+			same = same && (listed && e.Lifecycle == k.state || !listed && k.state == "removed")
+		}
+		for id := range l.entries {
+			_, known := told[id]
+			same = same && known
+		}
+		if same {
+			n++
+		}
+	}
+	return n
+}
+
 func (l *list) setDown(down bool) {
 	l.mu.Lock()
 	l.down = down
@@ -157,6 +218,10 @@
 		http.Error(w, "from: a generation is wanted", http.StatusBadRequest)
 		return
 	}
+	if a.l.service != nil {
+		a.relay(w, r, from)
+		return
+	}
 	rc := http.NewResponseController(w)
 	m, more := a.l.since(from, false)
 	beat := time.NewTicker(beatEvery)
@@ -191,6 +256,33 @@
 	}
 }
 
+// relay tells the node what the list service's replicas say; while none does it is silent.
+func (a *agent) relay(w http.ResponseWriter, r *http.Request, from uint64) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(a.l.w.ctx, cancel)()
+	rc := http.NewResponseController(w)
+	if rc.Flush() != nil {
+		return
+	}
+	a.l.service.follow(ctx, a.node, from, func(m *listMessage) bool {
+		switch {
+		case a.l.isDown():
+			a.quiet(ctx)
+			return false
+		case m == nil:
+			_, err := w.Write([]byte("\n"))
+			return err == nil && rc.Flush() == nil
+		}
+		a.l.mu.Lock()
+		for i := range m.Instances {
+			m.Instances[i].number = a.l.numbers[m.Instances[i].InstanceID]
+		}
+		a.l.mu.Unlock()
+		return a.write(w, *m)
+	})
+}
+
 // quiet is silence on an open connection.
 func (a *agent) quiet(ctx context.Context) {
 	select {
@@ -215,6 +307,7 @@
 		return false
 	}
 	a.l.w.told(a.node, m)
+	a.l.heard(m)
 	return true
 }
 
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -64,12 +64,12 @@
 
 // startProcess starts a program with its output in a file; the log of an earlier process of
 // the name is kept and added to.
-func startProcess(st *starter, dir, name, binary string, env []string) (*process, error) {
+func startProcess(st *starter, dir, name, binary string, env []string, args ...string) (*process, error) {
 	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, fmt.Errorf("log of %s: %w", name, err)
 	}
-	cmd := exec.Command(binary)
+	cmd := exec.Command(binary, args...)
 	cmd.Env = append(os.Environ(), env...)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math"
 	"os"
 	"path/filepath"
@@ -20,6 +21,7 @@
 type Options struct {
 	Seed    uint64
 	Binary  string         // of the edge node
+	Service string         // binary of the operators' command, for scenarios with a list service
 	Env     []string       // added to the nodes' environment
 	Dir     string         // takes configurations, logs and the result; made if it is not there
 	Control string         // address at which Prometheus finds the run and faults are taken; "": nowhere
@@ -314,6 +316,11 @@
 		w.list.mu.Unlock()
 	case "list-down":
 		w.list.setDown(!e.End)
+	case "list-kill":
+		if e.End {
+			return w.list.service.revive()
+		}
+		return w.list.service.killLeader()
 	}
 	return nil
 }
@@ -426,6 +433,11 @@
 			break
 		}
 	}
+	for end := time.Now().Add(listsWithin); time.Now().Before(end) && w.list.right() < want; {
+		if w.list.isDown() || !w.sleep(frontChecks) {
+			break
+		}
+	}
 	return up
 }
 
@@ -510,7 +522,12 @@
 	r.Marks = append(r.Marks, w.commanded...)
 	r.Series = w.series()
 	r.Figures = w.figures(0, time.Duration(w.s.Duration))
-	r.Figures["restored_nodes"] = float64(up)
+	ms := func(q float64) float64 { return quantile(w.list.told, q).Seconds() * 1e3 }
+	whole := map[string]float64{ // of the whole run, whichever part of it is looked at
+		"restored_nodes": float64(up), "lists_right": float64(w.list.right()) / float64(len(w.nodes)),
+		"list_p50_ms": ms(50), "list_p99_ms": ms(99), "list_max_ms": ms(100),
+	}
+	maps.Copy(r.Figures, whole)
 	r.Behind = r.Figures["lateness_ms"] > behindFrom.Seconds()*1000
 	for _, e := range w.s.Expect {
 		to := time.Duration(e.To)
@@ -518,7 +535,7 @@
 			to = time.Duration(w.s.Duration)
 		}
 		f := w.figures(time.Duration(e.From), to)
-		f["restored_nodes"] = float64(up)
+		maps.Copy(f, whole)
 		got := f[e.Figure]
 		r.Checks = append(r.Checks, Checked{e, got, (e.Min == nil || got >= *e.Min) && (e.Max == nil || got <= *e.Max)})
 	}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -63,8 +63,9 @@
 	ConnIdle      Duration `toml:"conn_idle"`
 	ReportEvery   Duration `toml:"report_every"`
 	ReportLate    Duration `toml:"report_late"`
-	ListLate      Duration `toml:"list_late"`   // from a change at a server to the agents' telling it
-	InboxPerS     float64  `toml:"inbox_per_s"` // datagrams that a node takes in
+	ListLate      Duration `toml:"list_late"`     // from a change at a server to the agents' telling it
+	ListReplicas  int      `toml:"list_replicas"` // of the project's own list service; 0: the lab keeps the list
+	InboxPerS     float64  `toml:"inbox_per_s"`   // datagrams that a node takes in
 	PeerLoss      float64  `toml:"peer_loss"`
 	PeerDelay     Duration `toml:"peer_delay"`
 	CrossDelay    Duration `toml:"cross_delay"` // one way between zones; needs the relays
@@ -148,6 +149,7 @@
 	"peer-loss": {"all", false, "a share `size` of the datagrams is lost"},
 	"list-late": {"all", false, "discovery tells `late` later"},
 	"list-down": {"all", false, "agents stay silent and take no watch"},
+	"list-kill": {"all", false, "SIGKILL of the list service's leader; started again after `for`"},
 }
 
 // Figures that an expect line may name, and what they are.
@@ -171,6 +173,10 @@
 	"servers_fell":   "cold app servers that were sent too much and fell over",
 	"worst_second":   "lowest share of first tries served of any whole second with arrivals",
 	"restored_nodes": "nodes that answer at the end",
+	"lists_right":    "share of the nodes that were told of the list as it is at the end",
+	"list_p50_ms":    "median time from a change's being written to a node's being told",
+	"list_p99_ms":    "99th percentile of the same",
+	"list_max_ms":    "the longest of the same",
 }
 
 // defaults is a small fleet that any machine carries.
@@ -265,6 +271,7 @@
 		{"fleet.fall_for", f.FallFor.s(), 0.1, 60}, {"fleet.connections", float64(f.Connections), 1, 1e6},
 		{"fleet.handshake_work", f.HandshakeWork.s(), 0, 1}, {"fleet.conn_idle", f.ConnIdle.s(), 0.1, 3600},
 		{"fleet.report_every", f.ReportEvery.s(), 0, 60}, {"fleet.report_late", f.ReportLate.s(), 0, 60}, {"fleet.list_late", f.ListLate.s(), 0, 60},
+		{"fleet.list_replicas", float64(f.ListReplicas), 0, 7},
 		{"fleet.inbox_per_s", f.InboxPerS, 1, 1e6}, {"fleet.peer_loss", f.PeerLoss, 0, 1}, {"fleet.peer_delay", f.PeerDelay.s(), 0, 1},
 		{"fleet.cross_delay", f.CrossDelay.s(), 0, 1}, {"fleet.memory_mb", float64(f.MemoryMB), 16, 1 << 20}, {"fleet.sockets", float64(f.Sockets), 64, 1 << 20},
 		{"load.rate", l.Rate, 0.1, 100000}, {"load.work_ms", l.WorkMS, 0.01, 10000}, {"load.aim", l.Aim.s(), 0.01, 60},
@@ -331,6 +338,8 @@
 		return wrong(field+"kind", "%s wants a size above 0 and up to 1, a share", ft.Kind)
 	case ft.Kind == "list-late" && ft.Late <= 0:
 		return wrong(field+"kind", "%s wants late, a duration", ft.Kind)
+	case ft.Kind == "list-kill" && s.Fleet.ListReplicas == 0:
+		return wrong(field+"kind", "list-kill wants fleet.list_replicas, 3 or 5")
 	case ft.Kind == "stall" && ft.For <= 0:
 		return wrong(field+"kind", "stall wants for, a duration")
 	case !slices.Contains([]string{"", "both", "in", "out"}, ft.Way):
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -22,18 +22,20 @@
 	readyWithin = 60 * time.Second // a node is ready, also on a busy machine
 	stopWithin  = 15 * time.Second // a node ends after SIGTERM; then it is killed
 	oldAgentFor = 1500 * time.Millisecond
+	listsWithin = 10 * time.Second // all nodes are told of the last changes
 	lagTick     = 10 * time.Millisecond
 )
 
 // world is one run: everything that plays in it and the clock.
 type world struct {
-	s      *Scenario
-	d      *Schedule
-	seed   uint64
-	dir    string
-	binary string
-	env    []string
-	log    *slog.Logger
+	s       *Scenario
+	d       *Schedule
+	seed    uint64
+	dir     string
+	binary  string
+	program string // of the operators' command
+	env     []string
+	log     *slog.Logger
 
 	origin time.Time     // of the monotonic clock
 	begun  atomic.Int64  // nanoseconds from the origin to the start of the schedule, once it has begun
@@ -104,7 +106,7 @@
 
 func newWorld(ctx context.Context, s *Scenario, o Options) *world {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &world{s: s, d: Draw(s, o.Seed), seed: o.Seed, dir: o.Dir, binary: o.Binary, env: o.Env, log: o.Log, origin: time.Now(), over: make(chan struct{}),
+	w := &world{s: s, d: Draw(s, o.Seed), seed: o.Seed, dir: o.Dir, binary: o.Binary, program: o.Service, env: o.Env, log: o.Log, origin: time.Now(), over: make(chan struct{}),
 		ctx: ctx, cancel: cancel, relays: map[[2]party]*tcpRelay{},
 		ids: &lockedRand{rng: random(o.Seed, streamServers)}}
 	w.list = newList(w)
@@ -163,6 +165,12 @@
 	if w.udp, err = startUDPRelay(w, w.block.addr(4, 0)); err != nil {
 		return err
 	}
+	w.starter = newStarter()
+	if f.ListReplicas > 0 {
+		if w.list.service, err = startService(w, w.program); err != nil {
+			return err
+		}
+	}
 	for i := range f.Servers {
 		s, err := startServer(w, i, w.block.hostPort(2, i))
 		if err != nil {
@@ -171,6 +179,9 @@
 		w.servers = append(w.servers, s)
 		w.list.put(s.entry())
 	}
+	if w.list.service != nil && !w.list.service.written() {
+		return errors.New("the list service does not take the first app servers")
+	}
 	if w.s.relayed() {
 		for n := range f.Nodes {
 			for i, s := range w.servers {
@@ -184,7 +195,6 @@
 			}
 		}
 	}
-	w.starter = newStarter()
 	var addrs []string
 	for i := range f.Nodes {
 		n := &nodeState{number: i, name: fmt.Sprintf("n%d", i), listen: w.block.hostPort(1, i), peer: w.block.peerPort(1, i)}
@@ -538,6 +548,9 @@
 	if w.udp != nil {
 		w.udp.close()
 	}
+	if w.list.service != nil {
+		w.list.service.stop()
+	}
 	w.work.Wait()
 	if w.starter != nil {
 		w.starter.stop()
--- a/internal/registry/cluster_test.go
+++ b/internal/registry/cluster_test.go
@@ -15,6 +15,8 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -30,12 +32,14 @@
 const asReplica = "OPALHOOK_REGISTRY_REPLICA"
 
 func TestMain(m *testing.M) {
-	if text := os.Getenv(asReplica); text != "" {
-		if err := runReplica(text); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
+	for name, run := range map[string]func(string) error{asReplica: runReplica, asWatchers: runWatchers, asEncoder: runEncoder} {
+		if text := os.Getenv(name); text != "" {
+			if err := run(text); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+				os.Exit(1)
+			}
+			return
 		}
-		return
 	}
 	os.Exit(m.Run())
 }
@@ -45,11 +49,12 @@
 	var plain struct {
 		Dir, Listen, Raft, Join string
 		Via                     map[string]string
+		Joins                   float64
 	}
 	if err := json.Unmarshal([]byte(text), &plain); err != nil {
 		return err
 	}
-	cfg.Dir, cfg.Listen, cfg.Raft, cfg.Join, cfg.Via = plain.Dir, plain.Listen, plain.Raft, plain.Join, plain.Via
+	cfg.Dir, cfg.Listen, cfg.Raft, cfg.Join, cfg.Via, cfg.Joins = plain.Dir, plain.Listen, plain.Raft, plain.Join, plain.Via, plain.Joins
 	cfg.Log = slog.New(slog.NewTextHandler(os.Stderr, nil))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
@@ -68,6 +73,8 @@
 	listen, raft string
 	cmd          *exec.Cmd
 	log          string
+	joins        float64               // watches that may be opened a second; 0: as the service has it
+	env          []string              // more of it
 	via          map[string]string     // to the others, through links
 	links        map[*member]*lab.Link // the same, by the other
 }
@@ -93,7 +100,7 @@
 // start starts the process and waits until it answers.
 func (m *member) start(join string) {
 	m.t.Helper()
-	text, err := json.Marshal(map[string]any{"Dir": m.dir, "Listen": m.listen, "Raft": m.raft, "Join": join, "Via": m.via})
+	text, err := json.Marshal(map[string]any{"Dir": m.dir, "Listen": m.listen, "Raft": m.raft, "Join": join, "Via": m.via, "Joins": m.joins})
 	if err != nil {
 		m.t.Fatal(err)
 	}
@@ -103,7 +110,7 @@
 	}
 	defer log.Close()
 	m.cmd = exec.Command(os.Args[0])
-	m.cmd.Env = append(os.Environ(), asReplica+"="+string(text))
+	m.cmd.Env = append(append(os.Environ(), asReplica+"="+string(text)), m.env...)
 	m.cmd.Stderr = log
 	if err := m.cmd.Start(); err != nil {
 		m.t.Fatal(err)
@@ -190,6 +197,75 @@
 	seen       life1 // of a read
 }
 
+// service starts replicas with links between them and waits until each knows all.
+func service(t testing.TB, n int) (all []*member) {
+	t.Helper()
+	for range n {
+		all = append(all, newMember(t))
+	}
+	connect(t, all)
+	for i, m := range all {
+		if i == 0 {
+			m.start("")
+		} else {
+			m.start(all[0].listen)
+		}
+	}
+	leaderOf(t, all)
+	eventually(t, "every replica knows all", func() bool {
+		sts, errs := (&Client{Replicas: addresses(all)}).Status(t.Context())
+		known := errors.Join(errs...) == nil
+		for _, st := range sts {
+			known = known && len(st.Replicas) == n
+		}
+		return known
+	})
+	return all
+}
+
+func addresses(all []*member) (out []string) {
+	for _, m := range all {
+		out = append(out, m.listen)
+	}
+	return out
+}
+
+// leaderOf waits for a replica that says that it leads.
+func leaderOf(t testing.TB, all []*member) (m *member) {
+	t.Helper()
+	eventually(t, "a leader", func() bool {
+		for _, c := range all {
+			if c.leads() {
+				m = c
+				return true
+			}
+		}
+		return false
+	})
+	return m
+}
+
+// sameLists waits until all replicas hold one list.
+func sameLists(t testing.TB, all []*member) {
+	t.Helper()
+	eventually(t, "all replicas hold one list", func() bool {
+		texts := map[string]bool{}
+		for _, m := range all {
+			resp, err := http.Get("http://" + m.listen + "/registry/instances")
+			if err != nil {
+				return false
+			}
+			text, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if err != nil {
+				return false
+			}
+			texts[string(text)] = true
+		}
+		return len(texts) == 1
+	})
+}
+
 // life1 is what the list knows of one instance, as the page of its writes promises.
 type life1 struct {
 	here, drained bool
@@ -367,31 +443,8 @@
 // Three replicas as processes. Leaders are killed and stopped, and all are killed at once, under
 // writes of six clients; every replica ends with the same list.
 func TestHistoriesUnderFaults(t *testing.T) {
-	all := []*member{newMember(t), newMember(t), newMember(t)}
-	connect(t, all)
-	all[0].start("")
-	all[1].start(all[0].listen)
-	all[2].start(all[0].listen)
-	leader := func() (m *member) {
-		eventually(t, "a leader", func() bool {
-			for _, c := range all {
-				if c.leads() {
-					m = c
-					return true
-				}
-			}
-			return false
-		})
-		return m
-	}
-	leader()
-	eventually(t, "three replicas", func() bool {
-		c := Client{Replicas: []string{all[0].listen, all[1].listen, all[2].listen}}
-		ctx, cancel := context.WithTimeout(t.Context(), patience)
-		defer cancel()
-		sts, errs := c.Status(ctx)
-		return errors.Join(errs...) == nil && len(sts[0].Replicas) == 3 && len(sts[1].Replicas) == 3 && len(sts[2].Replicas) == 3
-	})
+	all := service(t, 3)
+	leader := func() *member { return leaderOf(t, all) }
 	stop, done := make(chan struct{}), make(chan []porcupine.Operation, 1)
 	go func() { done <- history(t, all, stop) }()
 	wrote := func() { // writes go through again
@@ -451,22 +504,148 @@
 	if known < 50 {
 		t.Errorf("%d writes with a known end of %d: nothing was tested", known, len(ops))
 	}
-	lists := func() (texts []string) {
-		for _, m := range all {
-			resp, err := http.Get("http://" + m.listen + "/registry/instances")
-			if err != nil {
-				return nil
+	sameLists(t, all)
+}
+
+// A replica whose state is lost is not taken for the one that it was, and comes back as a new
+// one; replicas are added and dismissed, the leader too, while clients write.
+func TestReplicasComeAndGo(t *testing.T) {
+	all := service(t, 3)
+	wiped := all[0]
+	if wiped == leaderOf(t, all) {
+		wiped = all[1]
+	}
+	others := slices.DeleteFunc(slices.Clone(all), func(m *member) bool { return m == wiped })
+	stop, done := make(chan struct{}), make(chan []porcupine.Operation, 1)
+	go func() { done <- history(t, others, stop) }()
+	status := func() Status {
+		sts, errs := (&Client{Replicas: []string{leaderOf(t, others).listen}}).Status(t.Context())
+		if errs[0] != nil {
+			t.Fatal(errs[0])
+		}
+		return sts[0]
+	}
+	idOf := func(m *member) string {
+		for _, r := range status().Replicas {
+			if strings.HasSuffix(r.ID, "@"+m.listen) {
+				return r.ID
 			}
-			text, _ := io.ReadAll(resp.Body)
-			resp.Body.Close()
-			texts = append(texts, string(text))
 		}
-		return texts
+		return ""
+	}
+	dismiss := func(id string) {
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+		if _, err := (&Client{Replicas: addresses(all)}).RemoveReplica(ctx, id); err != nil {
+			t.Errorf("dismissing %s: %v", id, err)
+		}
+	}
+	was := idOf(wiped)
+	wiped.kill()
+	files, err := os.ReadDir(wiped.dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		if err := os.RemoveAll(filepath.Join(wiped.dir, f.Name())); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wiped.start("") // as if nothing had been there: a service of its own
+	eventually(t, "the wiped replica leads what it alone is", wiped.leads)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	for n := range 20 { // commits of the others, that they offer to the one that was
+		if _, err := (&Client{Replicas: addresses(others)}).Register(ctx, Registration{entry(fmt.Sprint("s-x", n), 500+n), 1, 0}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, list, err := (&Client{Replicas: []string{wiped.listen}}).List(ctx); err != nil || slices.ContainsFunc(list, func(e Entry) bool { return e.InstanceID == "s-x0" }) {
+		t.Errorf("a replica that lost its state is taken for the one that it was: %v", err)
+	}
+	wiped.kill()
+	files, _ = os.ReadDir(wiped.dir)
+	for _, f := range files {
+		if err := os.RemoveAll(filepath.Join(wiped.dir, f.Name())); err != nil {
+			t.Fatal(err)
+		}
+	}
+	leader := leaderOf(t, others)
+	if body, code := joinAs(t, leader.listen, Replica{ID: "rx@" + wiped.listen, Raft: wiped.raft + nameMark + "rx"}); code != http.StatusConflict || !strings.Contains(body, "dismiss "+was) {
+		t.Errorf("a new replica at the address of one that is not dismissed: %d %s", code, body)
+	}
+	dismiss(was)
+	wiped.start(leader.listen)
+	eventually(t, "the replica is back as a new one", func() bool { id := idOf(wiped); return id != "" && id != was })
+	old := leaderOf(t, others)
+	oldID := idOf(old)
+	dismiss(oldID)
+	old.kill()
+	rest := slices.DeleteFunc(slices.Clone(all), func(m *member) bool { return m == old })
+	leaderOf(t, rest)
+	close(stop)
+	if err := judge(<-done); err != nil {
+		t.Error(err)
+	}
+	sameLists(t, rest)
+}
+
+// joinAs asks for a place in the service, once.
+func joinAs(t *testing.T, addr string, r Replica) (string, int) {
+	t.Helper()
+	body, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.Post("http://"+addr+"/registry/replicas", "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text), resp.StatusCode
+}
+
+// A reader that is ahead of a replica that lags is turned away there, and is served when the
+// replica has caught up: it is never shown the past.
+func TestReaderAheadOfALaggingReplica(t *testing.T) {
+	all := service(t, 3)
+	c := &Client{Replicas: addresses(all)}
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	register := func(n int) uint64 {
+		o, err := c.Register(ctx, Registration{entry(fmt.Sprint("s-", n), n), 1, 0})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return o.Generation
+	}
+	register(1)
+	lags := all[0]
+	if lags == leaderOf(t, all) {
+		lags = all[1]
+	}
+	lags.cut(all, true, true)
+	c.Replicas = addresses(slices.DeleteFunc(slices.Clone(all), func(m *member) bool { return m == lags }))
+	at := register(2)
+	resp, err := http.Get(fmt.Sprintf("http://%s/registry/instances?watch=1&from=%d", lags.listen, at))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _ := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("a reader of %d gets %s %s", at, resp.Status, text)
+	}
+	lags.cut(all, false, false)
+	w := watch(t, lags.listen, at)
+	next := register(3)
+	if m := w.next(t); m.Reset || m.Generation != next {
+		t.Errorf("after it has caught up the watch gets %+v, not %d", m, next)
 	}
-	eventually(t, "all replicas hold one list", func() bool {
-		x := lists()
-		return len(x) == 3 && x[0] == x[1] && x[1] == x[2]
-	})
 }
 
 // The judge catches histories that a broken state machine gives.
@@ -500,6 +679,13 @@
 	}) == nil {
 		t.Error("an older incarnation accepted was not caught")
 	}
+	stale := []porcupine.Operation{
+		{Input: write{Register, "s-1", 1}, Output: ending{code: Done, generation: 1}, Call: 0, Return: 5},
+		{Input: write{readKind, "s-1", 0}, Output: ending{code: Missing}, Call: 10, Return: 15},
+	}
+	if judge(stale) == nil {
+		t.Error("a read of the past was not caught")
+	}
 	if run(func(s *State, c Command) Outcome {
 		o := s.Apply(c)
 		if o.Code == Done && c.Kind == Drain {
--- a/internal/registry/server_test.go
+++ b/internal/registry/server_test.go
@@ -8,11 +8,13 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -307,25 +309,36 @@
 	}
 }
 
-// failing is a log store whose disk is full from a moment on.
+// failing is a log store whose disk is full from a moment on, or whose fsync fails though the
+// log was written.
 type failing struct {
 	raft.LogStore
-	full *atomic.Bool
+	full  *atomic.Bool
+	fsync bool
 }
 
 func (f failing) StoreLogs(logs []*raft.Log) error {
-	if f.full.Load() {
-		return errors.New("no space left on device")
+	switch {
+	case !f.full.Load():
+		return f.LogStore.StoreLogs(logs)
+	case f.fsync:
+		return errors.Join(errors.New("fsync: input/output error"), f.LogStore.StoreLogs(logs))
 	}
-	return f.LogStore.StoreLogs(logs)
+	return errors.New("no space left on device")
 }
 
-// A write that can't be made durable is not acknowledged, and the client is told.
+// A write that can't be made durable is not acknowledged, and the client is told; once the disk
+// is well, sent again, it is done once.
 func TestFullDisk(t *testing.T) {
+	t.Run("full", func(t *testing.T) { sickDisk(t, false) })
+	t.Run("fsync", func(t *testing.T) { sickDisk(t, true) })
+}
+
+func sickDisk(t *testing.T, fsync bool) {
 	var full atomic.Bool
 	s := replica(t, t.TempDir(), "", func(c *Config) {
 		c.Stores = func(l raft.LogStore, st raft.StableStore) (raft.LogStore, raft.StableStore) {
-			return failing{l, &full}, st
+			return failing{l, &full, fsync}, st
 		}
 	})
 	base := "http://" + s.Addr() + "/registry/instances"
@@ -342,6 +355,67 @@
 	if g := s.machine.generation(); g != 1 {
 		t.Errorf("generation %d after a write that was not kept", g)
 	}
+	full.Store(false)
+	status, text := call(t, "POST", base, registration("s-b", 2, 1, 0))
+	if status != http.StatusOK || s.machine.generation() != 2 {
+		t.Errorf("sent again: %d %s, generation %d", status, text, s.machine.generation())
+	}
+}
+
+// A watch that does not read is dropped and holds no other up; connections that say nothing, or
+// say it slowly, are closed and hold up nobody.
+func TestMuteAndSlowClients(t *testing.T) {
+	s := replica(t, t.TempDir(), "")
+	base := "http://" + s.Addr() + "/registry/instances"
+	for n := range 400 { // more than the buffers between take
+		e := entry(fmt.Sprint("s-", n), n+1)
+		e.MachineType = strings.Repeat("m", mostName)
+		text, err := json.Marshal(Registration{Entry: e, Incarnation: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		call(t, "POST", base, string(text))
+	}
+	dial := func(says string) net.Conn {
+		c, err := (&net.Dialer{Control: func(_, _ string, rc syscall.RawConn) error {
+			var err error
+			return errors.Join(rc.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2048) }), err)
+		}}).Dial("tcp", s.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		if _, err := io.WriteString(c, says); err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	var mute []net.Conn
+	for range 2000 {
+		mute = append(mute, dial(""))
+	}
+	for range 200 {
+		mute = append(mute, dial("POST /registry/instances HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\n{"))
+	}
+	dial("GET /registry/instances?watch=1&from=0 HTTP/1.1\r\nHost: x\r\n\r\n")
+	eventually(t, "the deaf watch is open", func() bool { return s.watches.Load() == 1 })
+	good := watch(t, s.Addr(), 0)
+	good.next(t)
+	call(t, "POST", base+"/s-1/drain", "")
+	if m := good.next(t); m.Generation != 401 {
+		t.Errorf("beside the deaf and the mute a watch gets %+v", m)
+	}
+	eventually(t, "the watch that does not read is dropped", func() bool { return s.watches.Load() == 1 })
+	for _, c := range mute {
+		c.SetReadDeadline(time.Now().Add(patience))
+		text, err := io.ReadAll(c)
+		if err != nil && !errors.Is(err, syscall.ECONNRESET) {
+			t.Fatalf("a mute connection stays open: %v", err)
+		}
+		if len(text) > 0 && !strings.HasPrefix(string(text), "HTTP/1.1 4") {
+			t.Fatalf("a mute connection is told %q", text)
+		}
+	}
 }
 
 // Watches that come too fast are turned away with advice; one that is open is not starved.
