Tell 10,000 watches of a change with no lock that they share

A watch was an HTTP handler of its own: two goroutines, two buffers, a lock on the list at each change, a timer for its empty lines and a wait on the replica's one end-of-life channel.

Watches now take their connection from the HTTP server and read an immutable edition by one pointer; beats wake them in 64 parts; changes that follow one another within 200 ms go out together.

--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -1,14 +1,18 @@
 package registry
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -252,7 +256,7 @@
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	if q.Get("watch") == "" {
-		whole, _ := s.machine.all()
+		whole, _, _ := s.machine.all()
 		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWithin)) // one that takes nothing holds nothing
 		w.Header().Set("Content-Type", "application/json")
 		w.Write(whole)
@@ -271,9 +275,16 @@
 	s.watch(w, r, from)
 }
 
-// watch writes changes until the watch ends. It holds no queue: what is to be written lies in
-// the machine, the same bytes for all, and a reader that takes nothing is dropped.
+// watchHead begins a watch's answer.
+const watchHead = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// watch takes a watch's connection from the HTTP server, whose buffers and second goroutine for
+// each would be most of what a watch costs.
 func (s *Server) watch(w http.ResponseWriter, r *http.Request, from uint64) {
+	if !r.ProtoAtLeast(1, 1) {
+		problem(w, http.StatusHTTPVersionNotSupported, Invalid, "a watch is told in chunks, as HTTP/1.1 has them")
+		return
+	}
 	rd := s.machine.since(from)
 	if rd.ahead {
 		if rd = s.awaitReader(r, from); rd.ahead {
@@ -281,46 +292,92 @@
 			return
 		}
 	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		problem(w, http.StatusInternalServerError, "failed", "watch: %v", err)
+		return
+	}
 	s.watches.Add(1)
-	defer s.watches.Add(-1)
-	rc := http.NewResponseController(w)
-	w.Header().Set("Content-Type", "application/json")
-	beat := time.NewTimer(time.Duration(float64(beatEvery) * (0.5 + 0.5*rand.Float64()))) // not in step with others
-	defer beat.Stop()
-	send := func(lines ...[]byte) bool {
-		if rc.SetWriteDeadline(time.Now().Add(writeWithin)) != nil {
-			return false
+	s.work.Go(func() {
+		defer s.watches.Add(-1)
+		defer conn.Close()
+		defer context.AfterFunc(s.ctx, func() { conn.SetDeadline(time.Now()) })()
+		if conn.SetReadDeadline(time.Time{}) != nil {
+			return
 		}
-		for _, l := range lines {
-			if _, err := w.Write(l); err != nil {
-				s.dropped.Inc()
-				return false
+		rd.chunks = append([][]byte{[]byte(watchHead)}, rd.chunks...)
+		s.feed(conn, rd)
+	})
+}
+
+// feed writes changes until the watch ends. It holds no queue: what is to be written lies in the
+// machine, the same bytes for all, and a reader that takes nothing is dropped. One that is gone
+// is found at the next line.
+func (s *Server) feed(conn net.Conn, rd reading) {
+	beat := &s.beats[rand.IntN(len(s.beats))]
+	for {
+		if len(rd.chunks) > 0 {
+			if conn.SetWriteDeadline(time.Now().Add(writeWithin)) != nil {
+				return
+			}
+			var err error
+			if len(rd.chunks) == 1 {
+				_, err = conn.Write(rd.chunks[0])
+			} else {
+				_, err = (*net.Buffers)(&rd.chunks).WriteTo(conn)
+			}
+			if err != nil {
+				if errors.Is(err, os.ErrDeadlineExceeded) && !s.over.Load() {
+					s.dropped.Inc()
+				}
+				return
 			}
 		}
-		if rc.Flush() != nil {
-			s.dropped.Inc()
-			return false
-		}
-		return true
-	}
-	for {
-		if !send(rd.lines...) {
+		// No other channel is waited for: 10,000 watches would wait for its lock.
+		struck := beat.next()
+		if s.over.Load() {
 			return
 		}
 		select {
-		case <-r.Context().Done():
-			return
-		case <-s.ctx.Done():
-			return
-		case <-beat.C:
-			beat.Reset(beatEvery)
-			rd.lines = [][]byte{{'\n'}}
+		case <-struck:
+			rd.chunks = [][]byte{[]byte("1\r\n\n\r\n")}
 		case <-rd.more:
 			rd = s.machine.since(rd.at)
 		}
 	}
 }
 
+// beat wakes a part of the watches for their empty line. A timer for each watch would have all of
+// them wait for the runtime's lock on its timers at every change.
+type beat struct{ ch atomic.Pointer[chan struct{}] }
+
+func (b *beat) next() chan struct{} { return *b.ch.Load() }
+
+func (b *beat) strike() {
+	ch := make(chan struct{})
+	if old := b.ch.Swap(&ch); old != nil {
+		close(*old)
+	}
+}
+
+// strikeBeats strikes each part in its turn, and all of them when the replica ends.
+func (s *Server) strikeBeats() {
+	t := time.NewTicker(beatEvery / beatParts)
+	defer t.Stop()
+	for i := 0; ; i = (i + 1) % beatParts {
+		select {
+		case <-s.ctx.Done():
+			s.over.Store(true)
+			for i := range s.beats {
+				s.beats[i].strike()
+			}
+			return
+		case <-t.C:
+			s.beats[i].strike()
+		}
+	}
+}
+
 // awaitReader lets a reader wait that is ahead of this replica. A leader whose quorum confirms
 // it is behind nobody: what the reader holds is of another list, and it gets the whole of this.
 func (s *Server) awaitReader(r *http.Request, from uint64) reading {
--- a/internal/registry/bench_test.go
+++ b/internal/registry/bench_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -144,7 +145,7 @@
 			return nil, nil, err
 		}
 		if line == "\r\n" {
-			return c, lines, nil
+			return c, bufio.NewReaderSize(httputil.NewChunkedReader(lines), 1024), nil
 		}
 	}
 }
@@ -338,16 +339,19 @@
 				}
 			}
 			b.Run("one", func(b *testing.B) {
-				cpu, _ := used(b, m.cmd.Process.Pid)
+				var cpu time.Duration
 				var late, spread []time.Duration
 				for i := range b.N {
+					time.Sleep(2 * gatherFor) // changes that come alone
 					sent := time.Now().UnixNano()
+					was, _ := used(b, m.cmd.Process.Pid)
 					change(i % 200)
 					x := w.next(b)
+					is, _ := used(b, m.cmd.Process.Pid)
+					cpu += is - was
 					late, spread = append(late, time.Duration(x[2]-sent)), append(spread, time.Duration(x[2]-x[1]))
 				}
-				end, _ := used(b, m.cmd.Process.Pid)
-				b.ReportMetric(float64((end-cpu).Microseconds())/float64(b.N), "cpu-µs/change")
+				b.ReportMetric(float64(cpu.Microseconds())/float64(b.N), "cpu-µs/change")
 				b.ReportMetric(float64(percentile(late, 0.5).Microseconds())/1e3, "p50-ms")
 				b.ReportMetric(float64(percentile(late, 0.99).Microseconds())/1e3, "p99-ms")
 				b.ReportMetric(float64(percentile(spread, 0.5).Microseconds())/1e3, "first-to-last-ms")
--- a/internal/registry/machine.go
+++ b/internal/registry/machine.go
@@ -1,10 +1,13 @@
 package registry
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/raft"
 )
@@ -14,16 +17,30 @@
 type machine struct {
 	mu    sync.Mutex
 	state *State
-	lines []line // the changes that are kept, oldest first
-	whole []byte // the whole list as one line, nil until wanted
-	more  chan struct{}
+	whole []byte                 // the whole list as one line, nil until wanted
+	first []byte                 // the same as a chunk, for watches
 	taken func(Command, Outcome) // told of each change, under the mutex
+
+	latest  atomic.Pointer[edition] // read by every watch at each change: by a lock they would wait for one another
+	changed chan struct{}           // there is news for herald
 }
 
-// line is one generation as a watch writes it.
+// edition is what watches read at a generation. It is not changed once it is there.
+type edition struct {
+	generation uint64
+	lines      []line        // the changes that are kept, oldest first
+	more       chan struct{} // closed when watches are to read again
+}
+
+// line is one generation as a watch writes it: a chunk of HTTP/1.1, whose content is one line.
 type line struct {
 	generation uint64
-	text       []byte
+	chunk      []byte
+}
+
+// chunk frames a line for a watch (RFC 9112, section 7.1).
+func chunk(text []byte) []byte {
+	return fmt.Appendf(nil, "%x\r\n%s\r\n", len(text), text)
 }
 
 // message is one message of the platform's discovery.
@@ -34,7 +51,9 @@
 }
 
 func newMachine(taken func(Command, Outcome)) *machine {
-	return &machine{state: NewState(0), more: make(chan struct{}), taken: taken}
+	m := &machine{state: NewState(0), taken: taken, changed: make(chan struct{}, 1)}
+	m.latest.Store(&edition{more: make(chan struct{})})
+	return m
 }
 
 // Apply implements raft.FSM. A command that can't be read is an error of the one that wrote it:
@@ -63,14 +82,14 @@
 	return o
 }
 
-// publish encodes the latest change and wakes the watches. Called under the mutex.
+// publish encodes the latest change. Called under the mutex.
 func (m *machine) publish() {
-	c := m.state.changes[len(m.state.changes)-1]
-	if len(m.lines) == changesKept {
-		m.lines = append(m.lines[:0], m.lines[1:]...)
+	lines := m.latest.Load().lines
+	if len(lines) == changesKept {
+		lines = lines[1:]
 	}
-	m.lines = append(m.lines, encodeLine(c))
-	m.wake()
+	// Editions share one array: what is added lies beyond what the earlier ones see.
+	m.edit(append(lines, encodeLine(m.state.changes[len(m.state.changes)-1])))
 }
 
 func encodeLine(c Change) line {
@@ -78,26 +97,54 @@
 	if err != nil {
 		panic(fmt.Sprintf("registry: an entry that was taken can't be written: %v", err)) // checked when it was registered
 	}
-	return line{c.Generation, append(text, '\n')}
+	return line{c.Generation, chunk(append(text, '\n'))}
 }
 
 // begin encodes all changes of a state that came whole. Called under the mutex.
 func (m *machine) begin() {
-	m.lines = nil
+	var lines []line
 	for _, c := range m.state.changes {
-		m.lines = append(m.lines, encodeLine(c))
+		lines = append(lines, encodeLine(c))
 	}
-	m.wake()
+	m.edit(lines)
 }
 
-func (m *machine) wake() {
+// edit makes the next edition. Called under the mutex.
+func (m *machine) edit(lines []line) {
 	m.whole = nil
-	close(m.more)
-	m.more = make(chan struct{})
+	m.latest.Store(&edition{m.state.Generation(), lines, m.latest.Load().more})
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+// herald wakes the watches until ctx ends: at once for a change after a pause, and once in a
+// while where one follows another, so that those go to each watch together.
+func (m *machine) herald(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.changed:
+		}
+		m.mu.Lock()
+		e := *m.latest.Load()
+		more := e.more
+		e.more = make(chan struct{})
+		m.latest.Store(&e)
+		m.mu.Unlock()
+		close(more)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(gatherFor):
+		}
+	}
 }
 
-// all is the whole list as one line and its generation.
-func (m *machine) all() ([]byte, uint64) {
+// all is the whole list, as one line and as a chunk, and its generation.
+func (m *machine) all() (whole, first []byte, generation uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.whole == nil {
@@ -106,51 +153,44 @@
 			panic(fmt.Sprintf("registry: an entry that was taken can't be written: %v", err))
 		}
 		m.whole = append(text, '\n')
+		m.first = chunk(m.whole)
 	}
-	return m.whole, m.state.Generation()
+	return m.whole, m.first, m.state.Generation()
 }
 
 // reading is what a watch gets that holds a generation.
 type reading struct {
-	lines [][]byte      // to be written, in order; shared, not to be changed
-	at    uint64        // the generation after them
-	ahead bool          // the reader is ahead of this replica
-	more  chan struct{} // closed at the next change
+	chunks [][]byte      // to be written, in order; their bytes are shared, not to be changed
+	at     uint64        // the generation after them
+	ahead  bool          // the reader is ahead of this replica
+	more   chan struct{} // closed when there is more
 }
 
 // since is what has changed after a generation, or the whole list where that is not known. A
 // reader that is ahead gets nothing.
 func (m *machine) since(from uint64) reading {
-	m.mu.Lock()
-	now, more := m.state.Generation(), m.more
-	r := reading{at: now, more: more}
+	e := m.latest.Load()
+	now := e.generation
+	r := reading{at: now, more: e.more}
 	switch {
 	case from == now && from != 0:
-		m.mu.Unlock()
 		return r
 	case from > now:
-		m.mu.Unlock()
 		r.ahead = true
 		return r
 	}
-	if n := len(m.lines); from != 0 && n > 0 && from>>epochBits == now>>epochBits && from >= m.lines[0].generation-1 {
-		for _, l := range m.lines[from-(m.lines[0].generation-1):] {
-			r.lines = append(r.lines, l.text)
+	if n := len(e.lines); from != 0 && n > 0 && from>>epochBits == now>>epochBits && from >= e.lines[0].generation-1 {
+		for _, l := range e.lines[from-(e.lines[0].generation-1):] {
+			r.chunks = append(r.chunks, l.chunk)
 		}
-		m.mu.Unlock()
 		return r
 	}
-	m.mu.Unlock()
-	whole, at := m.all()
-	r.lines, r.at = [][]byte{whole}, at // more is older: a change in between is read next
+	_, first, at := m.all()
+	r.chunks, r.at = [][]byte{first}, at // more is older: a change in between is read next
 	return r
 }
 
-func (m *machine) generation() uint64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.state.Generation()
-}
+func (m *machine) generation() uint64 { return m.latest.Load().generation }
 
 // read runs f on the state.
 func (m *machine) read(f func(*State)) {
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -44,13 +44,15 @@
 	defaultJoins   = 500
 	defaultTimeout = 500 * time.Millisecond
 	applyWithin    = 5 * time.Second
-	aheadWait      = 2 * time.Second // that a reader ahead of this replica is let wait
-	writeWithin    = 5 * time.Second // a watch that takes nothing for so long is dropped
-	headWithin     = 3 * time.Second // for a request's head
-	beatEvery      = 2 * time.Second // a watch's empty line
-	mostRequest    = 16 << 10        // bytes of a write
-	lockWithin     = 2 * time.Second // for the log's file to be free
-	takeOverAgain  = time.Second     // pause before a leader that could not take over tries again
+	aheadWait      = 2 * time.Second        // that a reader ahead of this replica is let wait
+	writeWithin    = 5 * time.Second        // a watch that takes nothing for so long is dropped
+	gatherFor      = 200 * time.Millisecond // from one waking of the watches to the next: what changes in between goes together
+	headWithin     = 3 * time.Second        // for a request's head
+	beatEvery      = 2 * time.Second        // a watch's empty line
+	beatParts      = 64                     // into which the watches fall for it, so that they are not told in step
+	mostRequest    = 16 << 10               // bytes of a write
+	lockWithin     = 2 * time.Second        // for the log's file to be free
+	takeOverAgain  = time.Second            // pause before a leader that could not take over tries again
 	snapshotsKept  = 2
 )
 
@@ -76,6 +78,8 @@
 	term   uint64  // of the leadership that the leases are of
 	wake   chan struct{}
 
+	beats    [beatParts]beat
+	over     atomic.Bool // watches end; set before the last beats are struck
 	watches  atomic.Int64
 	dropped  prometheus.Counter
 	turned   prometheus.Counter
@@ -182,6 +186,11 @@
 			s.log.Error("the service ended", "err", err)
 		}
 	})
+	for i := range s.beats {
+		s.beats[i].strike()
+	}
+	s.work.Go(s.strikeBeats)
+	s.work.Go(func() { s.machine.herald(s.ctx) })
 	s.work.Go(s.lead)
 	if !has && cfg.Join != "" {
 		if err := s.join(string(trans.LocalAddr())); err != nil {
