--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -218,8 +218,8 @@
 	home     time.Duration // when to go back to the first
 	calls    float64       // tokens for further calls
 	callsAt  time.Duration
-	lastLine time.Duration
-	lastNews time.Duration // when a message was last taken
+	lastLine time.Duration // or when the call began: silence counts from there
+	heardAt  time.Duration // when a replica was last heard
 
 	held      view
 	published view
@@ -242,7 +242,7 @@
 // NewFollower returns a follower of some name, which is to differ from machine to machine.
 func NewFollower(now time.Duration, name string, replicas []string, rules Rules, seed uint64) *Follower {
 	f := &Follower{rules: rules, replicas: Rank(name, replicas), rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), waiting: true,
-		calls: rules.CallsBurst, callsAt: now, span: rules.PauseFirst, gone: map[string]time.Duration{}, lastLine: now, lastNews: now}
+		calls: rules.CallsBurst, callsAt: now, span: rules.PauseFirst, gone: map[string]time.Duration{}, lastLine: now, heardAt: now}
 	f.until = now + f.draw(rules.FirstSpan)
 	return f
 }
@@ -286,7 +286,7 @@
 
 // Held is the list as it was last published, as a whole, and how long ago a replica was heard.
 func (f *Follower) Held(now time.Duration) (m Message, age time.Duration, known bool) {
-	return f.published.list(), now - f.lastLine, f.published.generation > 0
+	return f.published.list(), now - f.heardAt, f.published.generation > 0
 }
 
 // Doubts tells whether a list is not taken at face value.
@@ -413,7 +413,7 @@
 	if f.failed > 0 {
 		f.note("%s: followed again", f.replicas[f.at])
 	}
-	f.lastLine, f.failed, f.span = now, 0, f.rules.PauseFirst
+	f.lastLine, f.heardAt, f.failed, f.span = now, now, 0, f.rules.PauseFirst
 }
 
 // Heard takes in a message of a watch.
@@ -444,7 +444,6 @@
 	}
 	f.inPast = false
 	f.wellHeard(now)
-	f.lastNews = now
 	f.consider(now, cur.after(m))
 	f.publish(now)
 }
