End and move the lab's agents, servers and configurations safely on busy cores

Three copies of the lab's race-built tests at once hung or failed about once in six: an agent that a node had left less than 1.5 s before the end was never closed, and the run waited for it; a restart and a move wrote one configuration file at once; a server bound its address again before its accepting goroutine had let go of it. All agents are closed at the end, a node's configuration has a lock, and binding is tried again.

--- a/internal/lab/list.go
+++ b/internal/lab/list.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -52,6 +53,9 @@
 	service    *service                // where the list is kept if not here; nil: here
 	happened   map[happening]time.Time // when the list took each change in
 	numbers    map[string]int          // of the servers, by the names that they have had
+	agents     atomic.Int64            // of the project, that were started
+	started    []*agent
+	back       atomic.Int64            // messages that took a node's list back
 	told       *hdrhistogram.Histogram // microseconds from there to each node's being told
 }
 
@@ -173,12 +177,19 @@
 	return l.down
 }
 
+// agentPort is below the ports of the project's agents.
+const agentPort = 20000
+
 // agent is the discovery agent on one node's machine.
 type agent struct {
 	l    *list
 	node int
 	srv  *http.Server
 	addr string
+
+	follows []string // addresses of the list service's replicas, or that of the project's agent
+	proc    *process // of that; nil: none
+	last    uint64   // version that the node was told last
 }
 
 // startAgent opens an agent for a node.
@@ -189,6 +200,19 @@
 	}
 	a := &agent{l: l, node: node, addr: ln.Addr().String()}
 	a.srv = &http.Server{Handler: a, ReadHeaderTimeout: 5 * time.Second}
+	if l.service != nil {
+		a.follows = l.service.addresses()
+	}
+	if l.w.s.Fleet.ListAgents {
+		own := fmt.Sprintf("%s:%d", l.w.block.addr(11, node%250), agentPort+l.agents.Add(1)) // a node that moves has a second one
+		if a.proc, err = l.service.startAgent(node, own); err != nil {
+			return nil, err
+		}
+		a.follows = []string{own}
+	}
+	l.mu.Lock()
+	l.started = append(l.started, a)
+	l.mu.Unlock()
 	l.w.work.Go(func() {
 		if err := a.srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			l.w.fail(fmt.Errorf("list agent of node %d: %w", node, err))
@@ -265,7 +289,7 @@
 	if rc.Flush() != nil {
 		return
 	}
-	a.l.service.follow(ctx, a.node, from, func(m *listMessage) bool {
+	a.l.service.follow(ctx, a.follows, a.node, from, func(m *listMessage) bool {
 		switch {
 		case a.l.isDown():
 			a.quiet(ctx)
@@ -275,6 +299,10 @@
 			return err == nil && rc.Flush() == nil
 		}
 		a.l.mu.Lock()
+		if m.Generation < a.last {
+			a.l.back.Add(1)
+		}
+		a.last = m.Generation
 		for i := range m.Instances {
 			m.Instances[i].number = a.l.numbers[m.Instances[i].InstanceID]
 		}
@@ -311,5 +339,20 @@
 	return true
 }
 
+// close ends all agents that were ever started: one that a node has left may be open still.
+func (l *list) close() {
+	l.mu.Lock()
+	all := l.started
+	l.mu.Unlock()
+	for _, a := range all {
+		a.close()
+	}
+}
+
 // close ends the agent and its watches.
-func (a *agent) close() { a.srv.Close() }
+func (a *agent) close() {
+	a.srv.Close()
+	if a.proc != nil {
+		a.proc.stop(stopWithin)
+	}
+}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -65,6 +65,7 @@
 	ReportLate    Duration `toml:"report_late"`
 	ListLate      Duration `toml:"list_late"`     // from a change at a server to the agents' telling it
 	ListReplicas  int      `toml:"list_replicas"` // of the project's own list service; 0: the lab keeps the list
+	ListAgents    bool     `toml:"list_agents"`   // the project's own agent stands between its list service and each node
 	InboxPerS     float64  `toml:"inbox_per_s"`   // datagrams that a node takes in
 	PeerLoss      float64  `toml:"peer_loss"`
 	PeerDelay     Duration `toml:"peer_delay"`
@@ -149,7 +150,7 @@
 	"peer-loss": {"all", false, "a share `size` of the datagrams is lost"},
 	"list-late": {"all", false, "discovery tells `late` later"},
 	"list-down": {"all", false, "agents stay silent and take no watch"},
-	"list-kill": {"all", false, "SIGKILL of the list service's leader; started again after `for`"},
+	"list-kill": {"all", false, "SIGKILL of the list service's leader, or of all replicas where `share` is 1; started again after `for`"},
 }
 
 // Figures that an expect line may name, and what they are.
@@ -174,6 +175,7 @@
 	"worst_second":   "lowest share of first tries served of any whole second with arrivals",
 	"restored_nodes": "nodes that answer at the end",
 	"lists_right":    "share of the nodes that were told of the list as it is at the end",
+	"versions_back":  "messages that took a node's list back to an earlier version",
 	"list_p50_ms":    "median time from a change's being written to a node's being told",
 	"list_p99_ms":    "99th percentile of the same",
 	"list_max_ms":    "the longest of the same",
@@ -286,6 +288,8 @@
 	switch {
 	case s.Name == "":
 		return wrong("name", "is empty; a name is wanted")
+	case f.ListAgents && f.ListReplicas == 0:
+		return wrong("fleet.list_agents", "wants list_replicas, 3 or 5, that they follow")
 	case len(f.Zones) == 0 || len(f.Zones) > 26:
 		return wrong("fleet.zones", "%d zones; 1 to 26 are wanted", len(f.Zones))
 	case l.Rate*s.Duration.s() > 5e6:
@@ -338,6 +342,8 @@
 		return wrong(field+"kind", "%s wants a size above 0 and up to 1, a share", ft.Kind)
 	case ft.Kind == "list-late" && ft.Late <= 0:
 		return wrong(field+"kind", "%s wants late, a duration", ft.Kind)
+	case ft.Kind == "list-kill" && ft.Share != 0 && ft.Share != 1:
+		return wrong(field+"share", "%v is neither 0, for the leader, nor 1, for all", ft.Share)
 	case ft.Kind == "list-kill" && s.Fleet.ListReplicas == 0:
 		return wrong(field+"kind", "list-kill wants fleet.list_replicas, 3 or 5")
 	case ft.Kind == "stall" && ft.For <= 0:
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -58,6 +59,10 @@
 
 func (s *appServer) listen() error {
 	ln, err := net.Listen("tcp", s.addr)
+	// The one before is closed for good only when its accepting goroutine has noticed.
+	for end := time.Now().Add(stopWithin); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end) && s.w.sleep(time.Millisecond); {
+		ln, err = net.Listen("tcp", s.addr)
+	}
 	if err != nil {
 		return fmt.Errorf("app server %d: %w", s.number, err)
 	}
--- a/internal/lab/service.go
+++ b/internal/lab/service.go
@@ -14,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -209,14 +210,18 @@
 	}
 }
 
-// killLeader ends the replica that leads with SIGKILL, if one does.
-func (s *service) killLeader() error {
+// kill ends the replica that leads with SIGKILL, if one does, or all.
+func (s *service) kill(all bool) error {
 	for _, r := range s.replicas {
 		r.mu.Lock()
 		p := r.proc
 		r.mu.Unlock()
-		if st, err := s.status(r); err == nil && st.State == "leader" && p != nil {
-			return p.signal(syscall.SIGKILL)
+		st, err := s.status(r)
+		if !all && (err != nil || st.State != "leader") {
+			continue
+		}
+		if err := p.signal(syscall.SIGKILL); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -238,11 +243,24 @@
 	return nil
 }
 
-// follow hands on each message from a generation on, from one replica after another, until ctx
-// ends or heard is false. An empty line is a message of none.
-func (s *service) follow(ctx context.Context, first int, from uint64, heard func(m *listMessage) bool) {
+// startAgent starts the project's agent beside a node.
+func (s *service) startAgent(node int, addr string) (*process, error) {
+	args := []string{"agent", "-v", "--listen", addr, "--name", fmt.Sprintf("n%d", node), "--replicas", strings.Join(s.addresses(), ",")}
+	return startProcess(s.w.starter, s.w.dir, fmt.Sprintf("agent-%d", node), s.program, 0, nil, args...)
+}
+
+func (s *service) addresses() (out []string) {
+	for _, r := range s.replicas {
+		out = append(out, r.listen)
+	}
+	return out
+}
+
+// follow hands on each message from a generation on, from one address after another, until ctx
+// ends or heard is false. An empty line is a message of none. It believes what it hears.
+func (s *service) follow(ctx context.Context, addrs []string, first int, from uint64, heard func(m *listMessage) bool) {
 	for i := first; ; i++ {
-		if !s.followOne(ctx, s.replicas[i%len(s.replicas)], &from, heard) {
+		if !s.followOne(ctx, addrs[i%len(addrs)], &from, heard) {
 			return
 		}
 		select {
@@ -253,13 +271,13 @@
 	}
 }
 
-// followOne follows one replica's watch to its end; it is false where nobody listens any more.
-func (s *service) followOne(ctx context.Context, r *replica, from *uint64, heard func(m *listMessage) bool) bool {
+// followOne follows one watch to its end; it is false where nobody listens any more.
+func (s *service) followOne(ctx context.Context, addr string, from *uint64, heard func(m *listMessage) bool) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(watchSilent, cancel)
 	defer silence.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/registry/instances?watch=1&from=%d", r.listen, *from), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/registry/instances?watch=1&from=%d", addr, *from), nil)
 	if err != nil {
 		return true
 	}
--- a/internal/lab/settings.go
+++ b/internal/lab/settings.go
@@ -64,6 +64,8 @@
 // writeConfig writes a node's configuration and returns its path. A node that reads the file
 // sees the old one or the new one, whole.
 func (w *world) writeConfig(n *nodeState) (string, error) {
+	n.config.Lock()
+	defer n.config.Unlock()
 	m := w.list.known()
 	c := nodeConfig{Name: n.name, Listen: n.listen, Discovery: n.discovery, Seed: fmt.Sprintf("%016x", w.ids.Uint64()),
 		Limits: limits{1, w.s.Fleet.MemoryMB, w.s.Fleet.Sockets}, PeerListen: n.peer, Peers: w.udp.peers, PeersAll: w.udp.all,
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -88,8 +88,10 @@
 	name         string
 	listen, peer string
 	clients      string // where clients connect: listen, or a relay to it
-	discovery    string // where the node finds its agent
-	agent        *agent
+
+	config    sync.Mutex // a restart and a move may write the node's configuration at once
+	discovery string     // where the node finds its agent; under config
+	agent     *agent     // the same
 
 	mu       sync.Mutex
 	proc     *process
@@ -408,12 +410,14 @@
 // move gives a node another discovery agent and SIGHUP; the old agent takes no new watch and
 // ends the open ones a little later.
 func (w *world) move(n *nodeState) error {
-	old := n.agent
 	a, err := startAgent(w.list, n.number, w.block.addr(3, n.number%250)+":0")
 	if err != nil {
 		return err
 	}
+	n.config.Lock()
+	old := n.agent
 	n.agent, n.discovery = a, a.addr
+	n.config.Unlock()
 	if _, err := w.writeConfig(n); err != nil {
 		return err
 	}
@@ -536,9 +540,7 @@
 		w.front.close()
 	}
 	stops.Wait()
-	for _, n := range w.nodes {
-		n.agent.close()
-	}
+	w.list.close()
 	for _, s := range w.servers {
 		s.shut()
 	}
