Show the agent's standing without sorting its list at every line

Each event of a watch built and sorted the whole list to show its version and size. Standing gives those alone. go test -race -count=2 ./internal/agent passes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -159,10 +159,10 @@
 
 // show takes down how the follower is.
 func (a *Agent) show(now time.Duration) {
-	m, age, _ := a.f.Held(now)
+	generation, servers, age := a.f.Standing(now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.status = Status{Generation: m.Generation, Servers: len(m.Instances), Watching: a.f.Watching(), Age: age.Seconds(), Doubting: a.f.Doubts()}
+	a.status = Status{Generation: generation, Servers: servers, Watching: a.f.Watching(), Age: age.Seconds(), Doubting: a.f.Doubts()}
 	a.speaks = a.f.Watching() || age < a.cfg.Rules.Silence
 }
 
@@ -273,8 +273,7 @@
 		a.log.Error("a list can't be written", "err", err) // not with what Message.Check lets through
 		return
 	}
-	held, _, _ := a.f.Held(0)
-	whole, err := json.Marshal(held)
+	whole, err := json.Marshal(a.f.Held())
 	if err != nil {
 		a.log.Error("a list can't be written", "err", err)
 		return
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -284,9 +284,12 @@
 	f.do(Action{Kind: Note, Text: fmt.Sprintf(format, args...)})
 }
 
-// Held is the list as it was last published, as a whole, and how long ago a replica was heard.
-func (f *Follower) Held(now time.Duration) (m Message, age time.Duration, known bool) {
-	return f.published.list(), now - f.heardAt, f.published.generation > 0
+// Held is the list as it was last published, as a whole.
+func (f *Follower) Held() Message { return f.published.list() }
+
+// Standing is the version and the size of that list, and how long ago a replica was heard.
+func (f *Follower) Standing(now time.Duration) (generation uint64, servers int, age time.Duration) {
+	return f.published.generation, len(f.published.entries), now - f.heardAt
 }
 
 // Doubts tells whether a list is not taken at face value.
--- a/internal/agent/core_test.go
+++ b/internal/agent/core_test.go
@@ -89,18 +89,9 @@
 	r.take()
 }
 
-func (r *rig) held() (string, uint64) {
-	m, _, _ := r.f.Held(r.now)
-	s := ""
-	for _, e := range m.Instances {
-		s += e.InstanceID + ":" + e.Lifecycle + " "
-	}
-	return s, m.Generation
-}
-
 func (r *rig) wants(servers int, generation uint64) {
 	r.t.Helper()
-	m, _, _ := r.f.Held(r.now)
+	m := r.f.Held()
 	if len(m.Instances) != servers || m.Generation != generation {
 		r.t.Errorf("%d servers at %d are published, not %d at %d; notes %q", len(m.Instances), m.Generation, servers, generation, r.notes)
 	}
@@ -234,7 +225,7 @@
 	for n := range 10 { // one by one, faster than servers die
 		r.hear(Message{Generation: uint64(11 + n), Instances: []Entry{server(n, Draining)}})
 	}
-	if m, _, _ := r.f.Held(r.now); !r.f.Doubts() || (view{entries: map[string]Entry{}}).after(m).up() < 6 {
+	if m := r.f.Held(); !r.f.Doubts() || (view{entries: map[string]Entry{}}).after(m).up() < 6 {
 		t.Error("a list that shrinks change by change is not doubted")
 	}
 }
