End replicas with the test that started them, and test whose leases an expiry is of

A replica outlived a test that died before its clean-up: children now end with their standard input. The benchmarks read /proc by procfs.

--- a/internal/registry/bench_test.go
+++ b/internal/registry/bench_test.go
@@ -23,6 +23,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/prometheus/procfs"
 )
 
 // Names of the variables that make the test binary another process of a benchmark.
@@ -281,15 +283,15 @@
 // used is what a process has used: CPU time and resident bytes.
 func used(b *testing.B, pid int) (cpu time.Duration, memory float64) {
 	b.Helper()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	p, err := procfs.NewProc(pid)
+	if err != nil {
+		b.Fatal(err)
+	}
+	st, err := p.Stat()
 	if err != nil {
 		b.Fatal(err)
 	}
-	f := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
-	user, _ := strconv.Atoi(f[11])
-	system, _ := strconv.Atoi(f[12])
-	pages, _ := strconv.Atoi(f[21])
-	return time.Duration(user+system) * time.Second / 100, float64(pages * os.Getpagesize())
+	return time.Duration(st.CPUTime() * float64(time.Second)), float64(st.ResidentMemory())
 }
 
 func percentile(d []time.Duration, p float64) time.Duration {
@@ -320,6 +322,9 @@
 			} else {
 				m.cmd = exec.Command(os.Args[0])
 				m.cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%s %d", asEncoder, m.listen, 200))
+				if _, err := m.cmd.StdinPipe(); err != nil { // open for as long as this process lives
+					b.Fatal(err)
+				}
 				if err := m.cmd.Start(); err != nil {
 					b.Fatal(err)
 				}
--- a/internal/registry/cluster_test.go
+++ b/internal/registry/cluster_test.go
@@ -34,6 +34,12 @@
 func TestMain(m *testing.M) {
 	for name, run := range map[string]func(string) error{asReplica: runReplica, asWatchers: runWatchers, asEncoder: runEncoder} {
 		if text := os.Getenv(name); text != "" {
+			if name != asWatchers {
+				go func() { // standard input ends with the process that started this one
+					io.Copy(io.Discard, os.Stdin)
+					os.Exit(1)
+				}()
+			}
 			if err := run(text); err != nil {
 				fmt.Fprintln(os.Stderr, err)
 				os.Exit(1)
@@ -112,6 +118,9 @@
 	m.cmd = exec.Command(os.Args[0])
 	m.cmd.Env = append(append(os.Environ(), asReplica+"="+string(text)), m.env...)
 	m.cmd.Stderr = log
+	if _, err := m.cmd.StdinPipe(); err != nil { // open for as long as this process lives
+		m.t.Fatal(err)
+	}
 	if err := m.cmd.Start(); err != nil {
 		m.t.Fatal(err)
 	}
--- a/internal/registry/server_test.go
+++ b/internal/registry/server_test.go
@@ -418,6 +418,27 @@
 	}
 }
 
+// What one leadership found to have run out is not expired in another one's time: that may have
+// taken a renewal.
+func TestExpiryOfAnotherLeadershipIsRefused(t *testing.T) {
+	m := newMachine(func(Command, Outcome) {})
+	apply := func(term uint64, c Command) Code {
+		text, err := json.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return m.Apply(&raft.Log{Term: term, Data: text}).(Outcome).Code
+	}
+	apply(2, Command{Kind: Register, Entry: entry("s-a", 1), Incarnation: 1, Lease: time.Minute})
+	late := Command{Kind: Expire, Expired: []Owner{{"s-a", 1}}, Term: 2}
+	if code := apply(3, late); code != Stale || m.generation() != 1 {
+		t.Errorf("an expiry of term 2 in term 3: %s, generation %d", code, m.generation())
+	}
+	if late.Term = 3; apply(3, late) != Done || m.generation() != 2 {
+		t.Errorf("an expiry of its own term is not done: generation %d", m.generation())
+	}
+}
+
 // Watches that come too fast are turned away with advice; one that is open is not starved.
 func TestJoinsArePaced(t *testing.T) {
 	s := replica(t, t.TempDir(), "", func(c *Config) { c.Joins = 3 })
