Let no single replica that lags take the agent's list back after ten quiet minutes

That a replica had said an earlier version was forgotten only when a message was taken. A watch that told no change left it standing, and ten minutes later the next replica that lagged was believed: versions went back. An empty line of a watch that took the version held now ends it. Found by reading; TestPastIsTakenAtLast fails without the line.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -417,6 +417,7 @@
 		f.note("%s: followed again", f.replicas[f.at])
 	}
 	f.lastLine, f.heardAt, f.failed, f.span = now, now, 0, f.rules.PauseFirst
+	f.inPast = false // here is one that took the version that is held
 }
 
 // Heard takes in a message of a watch.
@@ -445,7 +446,6 @@
 		f.fail(now, 0, fmt.Sprintf("tells a change to version %d, %d is held", m.Generation, cur.generation))
 		return
 	}
-	f.inPast = false
 	f.wellHeard(now)
 	f.consider(now, cur.after(m))
 	f.publish(now)
--- a/internal/agent/core_test.go
+++ b/internal/agent/core_test.go
@@ -181,6 +181,30 @@
 	r.wants(9, 1<<epochBits|2)
 }
 
+// A list whose versions went back is taken only after a long time in which no replica took the
+// version that is held.
+func TestPastIsTakenAtLast(t *testing.T) {
+	r := newRig(t, "a", "b")
+	r.connect()
+	r.hear(whole(20, 10))
+	past := func(d time.Duration) {
+		for end := r.now + d; r.now < end; {
+			r.f.Failed(r.now, r.f.call, 0, "gone")
+			r.connect()
+			r.hear(whole(5, 10))
+		}
+	}
+	past(time.Second)
+	r.connect() // this one took version 20, and tells no change
+	for end := r.now + 2*DefaultRules().PastFor; r.now < end; r.wait(time.Second) {
+		r.f.Beat(r.now, r.f.call)
+	}
+	past(DefaultRules().PastFor / 2)
+	r.wants(10, 20)
+	past(DefaultRules().PastFor)
+	r.wants(10, 5)
+}
+
 // An empty list, or one that lost many servers, waits for a second replica or for time.
 func TestShrunkenListIsDoubted(t *testing.T) {
 	for name, c := range map[string]struct {
