Keep the messages of discovery in one package

The list service and its client each had the protocol's entry and message; internal/discovery has them for both.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -270,7 +270,7 @@
 func (a *Agent) publish(m Message) {
 	text, err := json.Marshal(m)
 	if err != nil {
-		a.log.Error("a list can't be written", "err", err) // not with what Message.Check lets through
+		a.log.Error("a list can't be written", "err", err) // not with what check lets through
 		return
 	}
 	whole, err := json.Marshal(a.f.Held())
--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -340,7 +340,7 @@
 		}
 		select {
 		case <-struck:
-			rd.chunks = [][]byte{[]byte("1\r\n\n\r\n")}
+			rd.chunks = [][]byte{s.emptyLine}
 		case <-rd.more:
 			rd = s.machine.since(rd.at)
 		}
--- a/internal/registry/core.go
+++ b/internal/registry/core.go
@@ -32,26 +32,19 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"mulleinmux/internal/discovery"
 )
 
 // Lifecycles of an entry.
 const (
-	Up       = "up"       // takes work
-	Draining = "draining" // finishes what it has
-	Removed  = "removed"  // gone; among changes only
+	Up       = discovery.Up
+	Draining = discovery.Draining
+	Removed  = discovery.Removed
 )
 
 // Entry is an app server in the form of the platform's protocol.
-type Entry struct {
-	InstanceID  string  `json:"instanceId"`
-	HostPort    string  `json:"hostPort"`
-	Zone        string  `json:"zone"`
-	MachineType string  `json:"machineType"`
-	Cell        int     `json:"cell"`
-	Lifecycle   string  `json:"lifecycle"`
-	Weight      float64 `json:"weight"`
-	StartedAtMs int64   `json:"startedAtMs"` // Unix milliseconds; 0: long ago
-}
+type Entry = discovery.Entry
 
 // Bounds on what an entry may hold.
 const (
@@ -154,7 +147,7 @@
 }
 
 // epochBits is where the epoch begins in a generation.
-const epochBits = 32
+const epochBits = discovery.EpochBits
 
 // MostEpoch keeps generations below 2^53.
 const MostEpoch = 1<<21 - 1
--- a/internal/registry/machine.go
+++ b/internal/registry/machine.go
@@ -1,15 +1,19 @@
 package registry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http/httputil"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
+
+	"mulleinmux/internal/discovery"
 )
 
 // machine is the state behind the replicated log, with what readers of it need: each change
@@ -38,17 +42,15 @@
 	chunk      []byte
 }
 
-// chunk frames a line for a watch (RFC 9112, section 7.1).
+// chunk frames a line for a watch.
 func chunk(text []byte) []byte {
-	return fmt.Appendf(nil, "%x\r\n%s\r\n", len(text), text)
+	var b bytes.Buffer
+	httputil.NewChunkedWriter(&b).Write(text) // to memory: it can't fail
+	return b.Bytes()
 }
 
 // message is one message of the platform's discovery.
-type message struct {
-	Generation uint64  `json:"generation"`
-	Reset      bool    `json:"reset"`
-	Instances  []Entry `json:"instances"`
-}
+type message = discovery.Message
 
 func newMachine(taken func(Command, Outcome)) *machine {
 	m := &machine{state: NewState(0), taken: taken, changed: make(chan struct{}, 1)}
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -78,14 +78,15 @@
 	term   uint64  // of the leadership that the leases are of
 	wake   chan struct{}
 
-	beats    [beatParts]beat
-	over     atomic.Bool // watches end; set before the last beats are struck
-	watches  atomic.Int64
-	dropped  prometheus.Counter
-	turned   prometheus.Counter
-	writes   *prometheus.CounterVec
-	expired  prometheus.Counter
-	registry *prometheus.Registry
+	beats     [beatParts]beat
+	emptyLine []byte      // as a chunk
+	over      atomic.Bool // watches end; set before the last beats are struck
+	watches   atomic.Int64
+	dropped   prometheus.Counter
+	turned    prometheus.Counter
+	writes    *prometheus.CounterVec
+	expired   prometheus.Counter
+	registry  *prometheus.Registry
 }
 
 // identity is the file that names a replica. It is drawn with its state: one whose state was
@@ -111,7 +112,7 @@
 	}
 	s := &Server{cfg: cfg, log: cfg.Log, joins: rate.NewLimiter(rate.Limit(cfg.Joins), max(int(cfg.Joins), 1)), origin: time.Now(), wake: make(chan struct{}, 1)}
 	s.ctx, s.stop = context.WithCancel(ctx)
-	s.machine = newMachine(s.taken)
+	s.machine, s.emptyLine = newMachine(s.taken), chunk([]byte{'\n'})
 	if err := s.start(); err != nil {
 		s.Close()
 		return nil, err
