Ask a pushed agent again at once, and follow the list by how it is told

The log of n100 has

3.052 WARN "discovery: watch ended" err="silent for too long" 15.262 INFO "discovery: watching again" generation=0

and no line between: no list line was received for 12 s, the choice fell on the saved list and the first byte followed within a millisecond.

At fault: backoff and registry.run in internal/node/registry.go drew the pause from 100 ms for each node of the fleet, 30 s for 300 and then 60 s, also where an agent on the node's own machine answers free. Ruled out by the same log: a list received and applied late (none came), sends decided before the news (they went on for seconds), restarts and SIGHUP (n100 had neither).

The follower in follow.go is a state machine with two paces. A pushed agent in doubt (silent for 2.3 s, a message not whole after 200 ms, a broken watch, something spoilt, a start, SIGHUP) is asked for the whole list at once and every 75 to 150 ms until it answers. Where lists are asked for, or calls are turned away, one call at a time is drawn from a span that grows with the fleet but ends before what was missed counts as told. Lists may be indented over many lines; a spoilt entry hides no other server's drain, and counts as draining where its state, address or start can't be read; a new process waits for what the agent has before it takes clients.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -32,10 +32,19 @@
 	Transport wire.Transport
 
 	reread   func() (*Config, error) // reads the configuration again, for a reload
-	left     []error                 // entries of Known that can't be
+	left     []error                 // what of Known is spoilt
 	drainFor time.Duration           // drainTime but in tests
+	listFor  time.Duration           // how long a new process waits for what discovery has to tell
 }
 
+// How long a new process waits for its first list before it takes clients: an agent answers
+// within milliseconds, and one that is down must not keep the node from serving. A service
+// that lists are asked from may have nothing to tell.
+const (
+	pushedList = time.Second
+	askedList  = 250 * time.Millisecond
+)
+
 // defaultSockets is the descriptor budget where no limit is told.
 const defaultSockets = 1024
 
@@ -132,6 +141,9 @@
 	if c.Settings, c.Transport, err = wire.ParseSettings(raw.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if c.listFor = pushedList; c.Settings.AskList {
+		c.listFor = askedList
+	}
 	if c.Transport.ConnIdle <= 0 {
 		c.Transport.ConnIdle = defaultConnIdle
 	}
--- /dev/null
+++ b/internal/node/follow_test.go
@@ -0,0 +1,573 @@
+package node
+
+import (
+	"cmp"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"mulleinmux/choice"
+)
+
+// sim is a discovery and edge nodes that follow its list, on a clock of their own. The list has
+// server a, which drains at version 2, and b.
+type sim struct {
+	now   time.Duration
+	queue []todo
+	seq   int
+
+	version int
+	mute    bool  // takes calls and says nothing, also on open watches
+	refuse  error // to those who call
+	full    bool  // turns calls away
+	wording func(message string, whole bool) []chunk
+
+	nodes []*simNode
+	calls []*simCall
+	taken []time.Duration // when a call came
+}
+
+type todo struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+// chunk is some text of a message, and how long after the one before it comes.
+type chunk struct {
+	after time.Duration
+	text  string
+}
+
+// simNode is an edge node: the registry without its sockets.
+type simNode struct {
+	sim  *sim
+	reg  *registry
+	wake int           // number of the latest wake-up asked for
+	told time.Duration // when it learnt that a drains; 0: it has not
+}
+
+// simCall is a call as discovery sees it.
+type simCall struct {
+	node   *simNode
+	order  order
+	in     reader
+	over   bool
+	deaf   bool // nothing comes on it any more
+	head   bool // is answered
+	from   int
+	sendAt time.Duration // when what was written last arrives
+}
+
+const hop = time.Millisecond
+
+func newSim(nodes, fleet int, pushed bool) *sim {
+	s := &sim{version: 1, wording: func(message string, _ bool) []chunk { return []chunk{{0, message + "\n"}} }}
+	for i := range nodes {
+		n := &simNode{sim: s}
+		n.reg = newRegistry(netip.MustParseAddrPort("127.0.0.1:1"), follower{pushed: pushed, fleet: fleet, within: askWithin,
+			rng: rand.New(rand.NewPCG(uint64(i), 1)), version: 1}, n.apply, slog.New(slog.DiscardHandler))
+		s.nodes = append(s.nodes, n)
+		s.after(hop+time.Duration(i)*time.Millisecond/10, func() { n.reg.follow.start(s.now); n.step() })
+	}
+	return s
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.seq++
+	t := todo{s.now + d, s.seq, do}
+	at, _ := slices.BinarySearchFunc(s.queue, t, func(a, b todo) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.seq, b.seq)) })
+	s.queue = slices.Insert(s.queue, at, t)
+}
+
+// run lets so much time pass.
+func (s *sim) run(d time.Duration) {
+	for end := s.now + d; ; {
+		if len(s.queue) == 0 || s.queue[0].at > end {
+			s.now = end
+			return
+		}
+		t := s.queue[0]
+		s.queue = s.queue[1:]
+		s.now = t.at
+		t.do()
+	}
+}
+
+func (n *simNode) apply(l List) {
+	for _, e := range l.Servers {
+		if e.ID == "a" && e.State == choice.Draining && n.told == 0 {
+			n.told = n.sim.now
+		}
+	}
+}
+
+// step carries out the follower's orders.
+func (n *simNode) step() {
+	do, wake := n.reg.follow.step(n.sim.now)
+	for _, o := range do {
+		if !o.open {
+			n.reg.hang(n.reg.calls, o.id)
+			continue
+		}
+		c := &simCall{node: n, order: o, from: int(o.from)}
+		n.reg.calls[o.id] = func() { c.over = true }
+		n.sim.after(hop, func() { n.sim.call(c) })
+	}
+	n.wake++
+	number := n.wake
+	n.sim.after(wake-n.sim.now, func() {
+		if n.wake == number {
+			n.step()
+		}
+	})
+}
+
+func (c *simCall) tell(e event) {
+	if c.over {
+		return
+	}
+	e.id = c.order.id
+	c.over = e.kind == eventEnd || e.kind == eventGarbage
+	c.node.reg.take(c.node.sim.now, e)
+	c.node.step()
+}
+
+// call is a call's arrival.
+func (s *sim) call(c *simCall) {
+	if c.over {
+		return
+	}
+	s.taken = append(s.taken, s.now)
+	switch {
+	case s.refuse != nil:
+		s.after(hop, func() { c.tell(event{kind: eventEnd, err: s.refuse}) })
+	case s.full:
+		s.after(hop, func() { c.tell(event{kind: eventEnd, turnedAway: true}) })
+	default:
+		s.calls = append(s.calls, c)
+		s.serve(c)
+		if c.order.kind == watchCall {
+			s.beat(c)
+		}
+	}
+}
+
+// serve writes what a call has not been told.
+func (s *sim) serve(c *simCall) {
+	if s.mute || c.deaf || c.over {
+		return
+	}
+	if !c.head {
+		c.head = true
+		s.after(hop, func() { c.tell(event{kind: eventHead}) })
+	}
+	if c.order.kind == fetchCall || c.from != s.version {
+		text := s.list(c.from)
+		for _, k := range s.wording(text, c.from == 0) {
+			s.write(c, k.text, k.after)
+		}
+		c.from = s.version
+	}
+	if c.order.kind == fetchCall {
+		c.sendAt = max(c.sendAt, s.now)
+		s.after(c.sendAt-s.now+hop, func() { s.bytes(c, "", io.EOF) })
+	}
+}
+
+func (s *sim) write(c *simCall, text string, after time.Duration) {
+	c.sendAt = max(c.sendAt, s.now) + after
+	s.after(c.sendAt-s.now+hop, func() { s.bytes(c, text, nil) })
+}
+
+func (s *sim) bytes(c *simCall, text string, end error) {
+	if s.mute || c.deaf || c.over || c.in.over {
+		return
+	}
+	for _, e := range c.in.read([]byte(text), end) {
+		c.tell(e)
+	}
+}
+
+func (s *sim) beat(c *simCall) {
+	s.after(lineEvery, func() {
+		if !c.over && !c.deaf {
+			if !s.mute {
+				s.write(c, "\n", 0)
+			}
+			s.beat(c)
+		}
+	})
+}
+
+func (s *sim) list(from int) string {
+	a := Instance{Server: choice.Server{ID: "a", Weight: 1}, Addr: netip.MustParseAddrPort("127.0.0.1:1")}
+	b := Instance{Server: choice.Server{ID: "b", Weight: 1}, Addr: netip.MustParseAddrPort("127.0.0.1:2")}
+	if s.version >= 2 {
+		a.State = choice.Draining
+	}
+	if from == 0 {
+		return listJSON(s.version, true, a, b)
+	}
+	return listJSON(s.version, false, a)
+}
+
+// tells runs f on all calls that are out.
+func (s *sim) each(f func(c *simCall)) {
+	for _, c := range slices.Clone(s.calls) {
+		if !c.over {
+			f(c)
+		}
+	}
+}
+
+func (s *sim) drain() { s.version = 2; s.each(s.serve) }
+func (s *sim) reset() {
+	s.each(func(c *simCall) { c.tell(event{kind: eventEnd, err: io.ErrUnexpectedEOF}) })
+}
+func (s *sim) silence() { s.each(func(c *simCall) { c.deaf = true }) }
+
+// latest is how long after a moment the last node learnt of the drain; -1: one never did.
+func (s *sim) latest(since time.Duration) time.Duration {
+	latest := time.Duration(0)
+	for _, n := range s.nodes {
+		if n.told == 0 {
+			return -1
+		}
+		latest = max(latest, n.told-since)
+	}
+	return latest
+}
+
+// inTime is what the rule on drains leaves from the moment that counts as told: its grace and
+// slack are 550 ms.
+const inTime = 400 * time.Millisecond
+
+// Where lists are pushed, what the agent has is with the node within the rule's time, whatever
+// has become of the watch, in a fleet of any size.
+func TestPushedListIsHadInTime(t *testing.T) {
+	// Each watch says it badly; the whole list is good.
+	spoil := func(how func(message string) []chunk) func(s *sim) {
+		return func(s *sim) {
+			s.wording = func(m string, whole bool) []chunk {
+				if whole {
+					return []chunk{{0, m + "\n"}}
+				}
+				return how(m)
+			}
+			s.drain()
+		}
+	}
+	line := func(how func(message string) string) func(s *sim) {
+		return spoil(func(m string) []chunk { return []chunk{{0, how(m) + "\n"}} })
+	}
+	mute := func(d time.Duration, deaf bool) func(s *sim) {
+		return func(s *sim) {
+			s.mute = true
+			s.run(d)
+			if deaf {
+				s.silence()
+			}
+			s.mute = false
+			s.drain()
+		}
+	}
+	for _, c := range []struct {
+		name string
+		do   func(s *sim)  // until the agent has the news
+		late time.Duration // that may pass besides inTime
+	}{
+		{"open watch", (*sim).drain, 0},
+		{"reset as it drains", func(s *sim) { s.reset(); s.drain() }, 0},
+		{"reset before", func(s *sim) { s.reset(); s.run(time.Second); s.drain() }, 0},
+		{"watches silent", func(s *sim) { s.silence(); s.drain() }, toldAfter},
+		{"watches long silent", func(s *sim) { s.silence(); s.run(toldAfter); s.drain() }, 0},
+		{"agent mute for 8 s", mute(8*time.Second, false), 0},
+		{"agent mute for 8 s, and for ever on the calls of that time", mute(8*time.Second, true), 0},
+		{"agent mute for 61 s", mute(61*time.Second, false), 0},
+		{"agent gone for 20 s", func(s *sim) {
+			s.refuse = errors.New("refused")
+			s.reset()
+			s.run(20 * time.Second)
+			s.refuse = nil
+			s.drain()
+		}, 0},
+		{"message not ended", line(func(m string) string { return m[:len(m)-2] }), 0},
+		{"message cut in a name", line(func(m string) string { return m[:len(m)/2] }), 0},
+		{"noise", line(func(m string) string { return "\x00\x01" + m }), 0},
+		{"entry without an id", line(func(m string) string { return strings.Replace(m, `"a"`, `7`, 1) }), 0},
+		{"state that can't be read", line(func(m string) string { return strings.Replace(m, `"draining"`, `[`, 1) }), 0},
+		{"indented", func(s *sim) {
+			s.wording = func(m string, _ bool) []chunk {
+				return []chunk{{0, strings.NewReplacer("{", "{\r\n  ", ",", ",\r\n  ", "}", "\r\n}").Replace(m) + "\r\n"}}
+			}
+			s.drain()
+		}, 0},
+		{"a byte at a time", func(s *sim) {
+			s.wording = func(m string, _ bool) (all []chunk) {
+				for i := range m {
+					all = append(all, chunk{0, m[i : i+1]})
+				}
+				return append(all, chunk{0, "\n"})
+			}
+			s.drain()
+		}, 0},
+		{"halting in the middle", spoil(func(m string) []chunk { return []chunk{{0, m[:20]}, {2 * time.Second, m[20:] + "\n"}} }), 0},
+	} {
+		for _, fleet := range []int{1, 350} {
+			s := newSim(min(fleet, 4), fleet, true) // each node has an agent of its own
+			s.run(5500 * time.Millisecond)
+			if s.latest(0) != -1 {
+				t.Fatal("told of a drain that has not begun")
+			}
+			c.do(s)
+			told := s.now
+			s.run(c.late + time.Minute)
+			if late := s.latest(told); late < 0 || late > inTime+c.late {
+				t.Errorf("%s, fleet of %d: the last node has it after %v", c.name, fleet, late)
+			}
+		}
+	}
+}
+
+// A new process has what the agent has before it takes clients, also where the saved list is of
+// the same version, and then makes no calls while nothing is wrong.
+func TestFirstListComesAtOnce(t *testing.T) {
+	for version := 1; version <= 2; version++ {
+		s := newSim(1, 350, true)
+		s.version = version
+		s.run(10 * time.Millisecond)
+		select {
+		case <-s.nodes[0].reg.heard:
+		default:
+			t.Errorf("version %d: no list after 10 ms", version)
+		}
+		s.run(time.Hour)
+		if n := len(s.taken); n != 2 {
+			t.Errorf("version %d: %d calls in an hour without a fault, want a fetch and a watch", version, n)
+		}
+	}
+}
+
+// Where lists are asked for, all nodes of a fleet come back within the platform's time after
+// their watches broke, and spread over it.
+func TestAskedListIsHadInTimeAndWithoutAStorm(t *testing.T) {
+	for _, fleet := range []int{1, 4, 350, 1024} {
+		for fault, do := range map[string]func(s *sim){
+			"reset":   (*sim).reset,
+			"silence": (*sim).silence,
+			"malformed": func(s *sim) {
+				s.wording = func(m string, whole bool) []chunk {
+					if !whole {
+						m = m[:30] + "\n"
+					}
+					return []chunk{{0, m + "\n"}}
+				}
+			},
+		} {
+			s := newSim(fleet, fleet, false)
+			s.run(5500 * time.Millisecond)
+			before := len(s.taken)
+			if before != fleet {
+				t.Errorf("%d calls of %d nodes whose watches work", before, fleet)
+			}
+			do(s)
+			s.drain()
+			broke := s.now
+			s.run(20 * time.Second)
+			if late := s.latest(broke); late < 0 || late > toldAfter+inTime {
+				t.Errorf("%s, fleet of %d: the last node has it %v after its watch broke", fault, fleet, late)
+			}
+			most, tenths := 0, map[time.Duration]int{}
+			for _, at := range s.taken[before:] {
+				tenth := (at - broke) / (100 * time.Millisecond)
+				tenths[tenth]++
+				most = max(most, tenths[tenth])
+			}
+			if again := len(s.taken) - before; most > 5+fleet/7 || again > fleet {
+				t.Errorf("%s, fleet of %d: %d calls, %d in the worst tenth of a second", fault, fleet, again, most)
+			}
+		}
+	}
+}
+
+// Those that are turned away come again the more seldom the more they are, also where the
+// settings say that an agent answers free: it has a line after all.
+func TestTurnedAwayNodesSpread(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		for _, fleet := range []int{1, 4, 80, 350} {
+			s := newSim(fleet, fleet, pushed)
+			s.run(time.Second)
+			s.full = true
+			s.reset()
+			s.run(10 * time.Second)
+			before := len(s.taken)
+			s.run(time.Minute)
+			// Half a second between the calls of few nodes, ten seconds between those of a node of many.
+			calls := len(s.taken) - before
+			if perS := float64(calls) / 60; perS > max(3*float64(min(fleet, 10)), float64(fleet)/8) || calls < fleet {
+				t.Errorf("%d nodes, pushed %v: %.1f calls a second", fleet, pushed, perS)
+			}
+			s.full = false
+			s.drain()
+			back := s.now
+			s.run(time.Minute)
+			if late := s.latest(back); late < 0 || late > 2*askWithin+callMost {
+				t.Errorf("%d nodes, pushed %v: the last one has it %v after there is room", fleet, pushed, late)
+			}
+		}
+	}
+}
+
+// Where the watch moves, the one before is heard until the new discovery answers.
+func TestMovedWatchIsHeardMeanwhile(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		s := newSim(1, 350, pushed)
+		n := s.nodes[0]
+		s.run(5 * time.Second)
+		old := s.calls[len(s.calls)-1]
+		s.mute = true // what is called from now on
+		n.reg.moveTo(s.now, netip.MustParseAddrPort("127.0.0.1:2"))
+		n.step()
+		s.run(time.Second)
+		old.tell(event{kind: eventMessage, list: List{Generation: 900, Servers: []Instance{{Server: choice.Server{ID: "a", State: choice.Draining}}}}})
+		if n.told == 0 || n.reg.follow.version == 900 {
+			t.Errorf("pushed %v: news of the discovery that is left: told %v, version %d", pushed, n.told, n.reg.follow.version)
+		}
+		s.mute = false
+		s.each(s.serve)
+		s.run(time.Second)
+		if !old.over || n.reg.follow.version != 1 {
+			t.Errorf("pushed %v: the discovery that is left is watched on: %v, version %d", pushed, !old.over, n.reg.follow.version)
+		}
+	}
+}
+
+// A fetch may be overtaken: what a watch has told since must not be taken back.
+func TestOvertakenFetchIsNotTaken(t *testing.T) {
+	f := follower{pushed: true, fleet: 1, rng: rand.New(rand.NewPCG(1, 1)), version: 4}
+	f.start(0)
+	f.step(0)
+	fetch := f.fetch.id
+	f.step(pushWhole - 1)
+	f.got(pushWhole-1, fetch, true)
+	f.step(pushWhole)
+	watch := f.watch.id
+	if fetch == 0 || watch == 0 || f.fetch.id != fetch {
+		t.Fatalf("fetch %d, watch %d are not both out", fetch, watch)
+	}
+	if !f.message(pushWhole+1, watch, 6, false, false) {
+		t.Error("the watch's message is not taken")
+	}
+	if f.message(pushWhole+2, fetch, 5, true, false) || f.version != 6 || f.watch.id != watch {
+		t.Errorf("an older list is taken: version %d", f.version)
+	}
+	if f.message(pushWhole+3, fetch, 9, true, false) {
+		t.Error("a call that is over is heard")
+	}
+}
+
+// A list of which some stays spoilt is read again, but not for ever at the same pace.
+func TestSpoiltListIsReadAgain(t *testing.T) {
+	for _, pushed := range []bool{true, false} {
+		s := newSim(1, 1, pushed)
+		s.wording = func(m string, _ bool) []chunk {
+			return []chunk{{0, strings.Replace(m, `"weight":1`, `"weight":"x"`, 1) + "\n"}}
+		}
+		s.run(time.Second)
+		s.drain()
+		s.run(time.Hour)
+		if n := len(s.taken); n < 10 || n > 200 {
+			t.Errorf("pushed %v: %d calls in an hour", pushed, n)
+		}
+	}
+}
+
+// What is spoilt in a message hides nothing of the rest.
+func TestSpoiltEntries(t *testing.T) {
+	const good = `{"instanceId":"g","hostPort":"127.0.0.1:9","lifecycle":"draining","weight":1}`
+	for _, c := range []struct {
+		entry string
+		id    string // "": it is left out
+		state choice.ServerState
+		field string
+	}{
+		{`{}`, "", 0, "instanceId"},
+		{`7`, "", 0, "instanceId"},
+		{`{"instanceId":7,"lifecycle":"draining"}`, "", 0, "instanceId"},
+		{`{"instanceId":"a","lifecycle":"odd","hostPort":"127.0.0.1:1"}`, "a", choice.Draining, "lifecycle"},
+		{`{"instanceId":"a","lifecycle":["up"],"hostPort":"127.0.0.1:1"}`, "a", choice.Draining, "lifecycle"},
+		{`{"instanceId":"a","hostPort":"127.0.0.1:1"}`, "a", choice.Draining, "lifecycle"},
+		{`{"instanceId":"a","lifecycle":"up","hostPort":"nowhere"}`, "a", choice.Draining, "hostPort"},
+		{`{"instanceId":"a","lifecycle":"up","hostPort":7}`, "a", choice.Draining, "hostPort"},
+		{`{"instanceId":"a","lifecycle":"draining","hostPort":7,"weight":"x","cell":[],"startedAtMs":{}}`, "a", choice.Draining, "hostPort"},
+		{`{"instanceId":"a","lifecycle":"removed","weight":"x"}`, "a", choice.Removed, "weight"},
+		{`{"instanceId":"a","lifecycle":"up","hostPort":"127.0.0.1:1","weight":"x"}`, "a", choice.Up, "weight"},
+		{`{"instanceId":"a","lifecycle":"up","hostPort":"127.0.0.1:1","weight":-1}`, "a", choice.Up, "weight"},
+		{`{"instanceId":"a","lifecycle":"up","hostPort":"127.0.0.1:1","weight":1e300}`, "a", choice.Up, "weight"},
+		{`{"instanceId":"a","lifecycle":"up","hostPort":"127.0.0.1:1","zone":4,"cell":"c"}`, "a", choice.Up, "zone"},
+		{`{"instanceId":"a","lifecycle":"up","hostPort":"127.0.0.1:1","startedAtMs":1e300}`, "a", choice.Draining, "startedAtMs"},
+		{`{"instanceId":"a","lifecycle":"up","hostPort":"127.0.0.1:1","startedAtMs":"soon"}`, "a", choice.Draining, "startedAtMs"},
+	} {
+		l, spoilt, err := parseList([]byte(`{"generation":8,"reset":true,"instances":[` + c.entry + `,` + good + `]}`))
+		if err != nil || len(spoilt) == 0 || !strings.Contains(errors.Join(spoilt...).Error(), "instances[0]."+c.field+": ") {
+			t.Errorf("%s: error %v, spoilt %v, want %s named", c.entry, err, spoilt, c.field)
+		}
+		last := len(l.Servers) - 1
+		if last < 0 || l.Servers[last].ID != "g" || l.Servers[last].State != choice.Draining {
+			t.Errorf("%s: hides the drain of another: %v", c.entry, l.Servers)
+			continue
+		}
+		if c.id == "" && last != 0 || c.id != "" && (last != 1 || l.Servers[0].ID != c.id || l.Servers[0].State != c.state) {
+			t.Errorf("%s: read as %+v", c.entry, l.Servers[:last])
+		}
+	}
+	for _, text := range []string{
+		`{"generation":8,"instances":[{"instanceId":"a,"lifecycle":"up"},` + good + `]}`,
+		`{"generation":8,"instances":[` + good + `,{"instanceId":`,
+		`{{{{` + good,
+	} {
+		if _, _, err := parseList([]byte(text)); err == nil {
+			t.Errorf("%s is a message", text)
+		}
+		if got := salvage([]byte(text)); len(got) != 1 || got[0].ID != "g" {
+			t.Errorf("%s: salvaged %v, want the drain of g", text, got)
+		}
+	}
+	if got := salvage([]byte(strings.Repeat("{", 1<<20))); len(got) != 0 {
+		t.Errorf("salvaged %v from noise", got)
+	}
+}
+
+// Messages are cut out of the stream the same however it comes in pieces.
+func TestSplitter(t *testing.T) {
+	const text = "\n{\"a\":\"}{\\\"[\"}\n\n{\r\n  \"b\": [\r\n    1\r\n  ]\r\n}\r\n{}{\"c\":1}\n"
+	for size := 1; size <= len(text); size++ {
+		var s splitter
+		var got []string
+		beats := 0
+		for rest := text; rest != ""; {
+			n := min(size, len(rest))
+			if err := s.feed([]byte(rest[:n]), func(m []byte) { got = append(got, string(m)) }, func() { beats++ }); err != nil {
+				t.Fatalf("pieces of %d: %v", size, err)
+			}
+			rest = rest[n:]
+		}
+		if want := []string{"{\"a\":\"}{\\\"[\"}", "{\r\n  \"b\": [\r\n    1\r\n  ]\r\n}", "{}", "{\"c\":1}"}; strings.Join(got, "|") != strings.Join(want, "|") || beats != 5 {
+			t.Fatalf("pieces of %d: %q and %d line ends", size, got, beats)
+		}
+	}
+	for text, want := range map[string]error{"x": errListGarbage, "{\"a\n": errListCut, "{\"a\":1,\n\n": errListCut,
+		"{" + strings.Repeat(" ", maxList): errListTooLong} {
+		var s splitter
+		if err := s.feed([]byte(text), func([]byte) {}, func() {}); err != want {
+			t.Errorf("%.20q: %v, want %v", text, err, want)
+		}
+	}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"time"
 )
 
 // Run runs an edge node until ctx ends, then drains it. At each signal on reload it
@@ -39,28 +40,39 @@
 		defer n.peers.conn.Close()
 	}
 	if len(cfg.left) > 0 {
-		logger.Warn("known: entries left out", "count", len(cfg.left), "first", cfg.left[0])
+		logger.Warn("known: some of the list is spoilt", "count", len(cfg.left), "first", cfg.left[0])
 	}
 	n.boot()
 	if n.peers != nil {
 		side.Go(func() { n.peers.receive(n.whisper) })
 	}
-	watch := startWatch(life, n, cfg.Discovery, cfg.Known.Generation)
-	defer func() { watch.end() }()
+	reg := newRegistry(cfg.Discovery, follower{pushed: !cfg.Settings.AskList, fleet: cfg.Settings.Instances,
+		within: cfg.Settings.AskWithin, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Known.Generation)),
+		version: cfg.Known.Generation}, n.heard, logger)
+	side.Go(func() { reg.run(life) })
 	side.Go(func() { n.up.reap(life) })
 	defer stop() // before the wait for what life owns
 
+	// The saved list may be old, and what discovery has counts from the first moment.
+	select {
+	case <-reg.heard:
+	case <-time.After(cfg.listFor):
+		logger.Warn("discovery has told nothing yet: the saved list holds")
+	case <-ctx.Done():
+	}
 	f := newFront(n)
 	failed := make(chan error, 1)
 	side.Go(func() { failed <- f.serve(ln) })
 	f.ready.Store(true)
-	logger.Info("ready", "node", cfg.Name, "listen", cfg.Listen, "servers", len(cfg.Known.Servers))
+	logger.Info("ready", "node", cfg.Name, "listen", cfg.Listen, "servers", len(cfg.Known.Servers),
+		"pushed", !cfg.Settings.AskList)
+	at := cfg.Discovery
 	for draining := false; !draining; {
 		select {
 		case err := <-failed:
 			return err
 		case <-reload:
-			watch = watch.reload(life, n)
+			at = reread(life, n, reg, at)
 		case <-ctx.Done():
 			draining = true
 		}
@@ -73,48 +85,20 @@
 	return nil
 }
 
-// watch is the following of one discovery agent.
-type watch struct {
-	addr netip.AddrPort
-	stop context.CancelFunc
-	done chan struct{}
-}
-
-// startWatch follows an agent from a version of the list that came from it; from 0 it
-// tells the whole list.
-func startWatch(ctx context.Context, n *Node, addr netip.AddrPort, from uint64) *watch {
-	ctx, stop := context.WithCancel(ctx)
-	w := &watch{addr: addr, stop: stop, done: make(chan struct{})}
-	reg := &registry{addr: addr, silent: watchSilent, last: from, apply: n.heard, log: n.log,
-		pause: backoff{fleet: n.cfg.Settings.Instances, rng: rand.New(rand.NewPCG(n.cfg.Seed, from))}}
-	go func() {
-		defer close(w.done)
-		reg.run(ctx)
-	}()
-	return w
-}
-
-// end ends the watch; nothing is heard from its agent afterwards.
-func (w *watch) end() {
-	w.stop()
-	<-w.done
-}
-
-// reload reads the configuration again and moves the watch if it names another
-// discovery agent. What else it says holds from the next start. A configuration that
-// can't be is logged, and the one in force stays.
-func (w *watch) reload(ctx context.Context, n *Node) *watch {
+// reread reads the configuration again and follows the list at the discovery that it names; what
+// else it says holds from the next start. A configuration that can't be is logged, and the one in
+// force stays. It returns where the list is followed.
+func reread(ctx context.Context, n *Node, reg *registry, at netip.AddrPort) netip.AddrPort {
 	cfg, err := n.cfg.reread()
 	if err != nil {
 		n.log.Error("reload: the configuration in force stays", "err", err)
-		return w
+		return at
 	}
-	if cfg.Discovery == w.addr {
-		n.log.Info("reload: discovery stays", "at", w.addr)
-		return w
+	if cfg.Discovery == at {
+		n.log.Info("reload: discovery stays", "at", at)
+	} else {
+		n.log.Info("reload: discovery moves", "from", at, "to", cfg.Discovery)
 	}
-	n.log.Info("reload: discovery moves", "from", w.addr, "to", cfg.Discovery)
-	w.end()
-	// Another agent may count its versions in another way.
-	return startWatch(ctx, n, cfg.Discovery, 0)
+	reg.move(ctx, cfg.Discovery)
+	return cfg.Discovery
 }
