Look at the list under its lock before the first byte of a request goes out

Need: a send that has not begun when the news is applied must not go out. A connection was checked when it was taken or had come up; a process that stood still between that and the write (a stopped process, a busy core) wrote after the news.

The first write of a request is one system call that does not wait, made under the lock that the list's news takes. TestDrainBeforeTheFirstByte fails without the look, on kept and on new connections.

--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -371,7 +371,7 @@
 	req := m.request(ctx)
 	var out bytes.Buffer
 	if err = req.Write(&out); err == nil {
-		_, err = c.Write(out.Bytes())
+		err = u.write(c, out.Bytes())
 	}
 	if err != nil {
 		// A server begins a request when its last byte has come, and that was not written.
@@ -409,6 +409,36 @@
 	return rep, result
 }
 
+// write writes a request, unless its server has left the list by the time its first byte would
+// go out: a send that has not begun when the news is applied must not begin any more, however
+// long ago it was decided.
+func (u *upstream) write(c *conn, text []byte) error {
+	var n int
+	var err error
+	if failed := c.raw.Write(func(fd uintptr) bool {
+		u.mu.Lock() // for one system call that does not wait: what update has done holds from here on
+		defer u.mu.Unlock()
+		if !c.of.up {
+			err = errUnknown
+			return true
+		}
+		for {
+			if n, err = syscall.Write(int(fd), text); err != syscall.EINTR {
+				return err != syscall.EAGAIN
+			}
+		}
+	}); failed != nil {
+		return failed
+	}
+	if err != nil {
+		return err
+	}
+	if n < len(text) {
+		_, err = c.Write(text[n:])
+	}
+	return err
+}
+
 // stale learns from a kept connection that was reset as soon as it was written to: the
 // server, or something on the way, gives idle connections up sooner than it tells. A
 // request that meets one may have run. From then on the server's connections are kept
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -535,6 +535,42 @@
 	}
 }
 
+// A request that was decided on and has its connection, but whose first byte has not gone out
+// when the news of the drain is applied, stays here: on a kept connection as on a new one.
+func TestDrainBeforeTheFirstByte(t *testing.T) {
+	srv := newAppServer(t, say(okAnswer))
+	for _, kept := range []bool{false, true} {
+		in := srv.instance("a")
+		u := newUpstream(wire.Transport{ConnIdle: time.Minute, ConnectTimeout: patience}, 10)
+		u.update([]Instance{in}, true)
+		if kept {
+			if _, result := u.exchange(t.Context(), "a", &message{method: "GET", target: "/first"}); result != choice.OK {
+				t.Fatalf("first request: %v", result)
+			}
+		}
+		c, err := u.take(t.Context(), "a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := len(srv.requests())
+		in.State = choice.Draining
+		closeAll(u.update([]Instance{in}, false))
+		if err := u.write(c, []byte("GET /late HTTP/1.1\r\nHost: a\r\n\r\n")); err != errUnknown {
+			t.Errorf("kept %v: written with error %v", kept, err)
+		}
+		c.SetDeadline(time.Now().Add(patience))
+		c.Conn.(*net.TCPConn).CloseWrite()
+		if n, err := io.Copy(io.Discard, c); n != 0 || err != nil { // the server closes what it has read to its end
+			t.Errorf("kept %v: %d bytes came back, error %v", kept, n, err)
+		}
+		u.discard(c)
+		if n := len(srv.requests()) - before; n != 0 {
+			t.Errorf("kept %v: %d requests came in after the news", kept, n)
+		}
+		u.shut()
+	}
+}
+
 // At the limit on descriptors an idle connection gives way; with none idle the
 // attempt is moot, which is held against no server.
 func TestDescriptorsAreBudgeted(t *testing.T) {
