Do not close a client's connection before the longest wait for its answer is over

At fault: WriteTimeout of the front's server, 10 s (writeLimit in internal/node/front.go), which the library counts from a request's header, so that it took in the wait for the answer.

The limit now follows the settings' longest deadline. With it a test that a new process takes no client before its agent has told what it has.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -27,7 +27,7 @@
 	headLimit  = 1500 * time.Millisecond // for a request's header, from the connection's start or the first byte
 	restWait   = 250 * time.Millisecond  // for the rest of a body that is of no use
 	bodyLimit  = time.Second             // for its body
-	writeLimit = 10 * time.Second        // from a request's header to the end of its answer
+	writeLimit = 10 * time.Second        // for the writing of an answer, behind the longest wait for it
 	idleLimit  = 30 * time.Second        // for a connection between requests
 	drainTime  = 500 * time.Millisecond  // connections still come for 0.4 s after a planned restart begins
 	otherFiles = 48                      // descriptors that are neither a client's nor an app server's
@@ -62,7 +62,7 @@
 	f.srv = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: headLimit,
-		WriteTimeout:      writeLimit,
+		WriteTimeout:      f.longestWait() + writeLimit, // counts from a request's header
 		IdleTimeout:       idleLimit,
 		MaxHeaderBytes:    16 << 10,
 		ConnContext:       withSlot,
@@ -86,11 +86,7 @@
 	f.ready.Store(false)
 	f.draining.Store(true)
 	<-time.After(f.node.cfg.drainFor)
-	longest := time.Duration(0)
-	for _, c := range f.node.cfg.Settings.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), longest+f.node.cfg.Settings.AnswerSlack)
+	ctx, cancel := context.WithTimeout(context.Background(), f.longestWait())
 	defer cancel()
 	if err := f.srv.Shutdown(ctx); err != nil {
 		// Only connections that never sent a request are left: the deadlines of all taken are past.
@@ -98,6 +94,15 @@
 	}
 }
 
+// longestWait is how long after a request's arrival its final answer may be due.
+func (f *front) longestWait() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range f.node.cfg.Settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return longest + f.node.cfg.Settings.AnswerSlack
+}
+
 // ServeHTTP answers one request of a client.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer func() {
--- a/internal/node/front_test.go
+++ b/internal/node/front_test.go
@@ -234,6 +234,19 @@
 	}
 }
 
+// A class may have its clients wait for longer than an answer takes to be written: the connection is not
+// closed under a request that can still be served.
+func TestWritingIsBoundedBehindTheLongestWait(t *testing.T) {
+	for _, deadline := range []time.Duration{time.Second, 20 * time.Second, 10 * time.Minute} {
+		cfg := testConfig()
+		cfg.Settings.Classes[1].Deadline = deadline
+		f := idleFront(t, cfg)
+		if limit, least := f.srv.WriteTimeout, max(deadline, cfg.Settings.Classes[0].Deadline)+cfg.Settings.AnswerSlack+time.Second; limit < least {
+			t.Errorf("deadline of %v: connections are closed after %v", deadline, limit)
+		}
+	}
+}
+
 // A client that goes away ends its request: the attempt is given up, the books cleared.
 func TestClientGone(t *testing.T) {
 	s := newAppServer(t, func(net.Conn, *http.Request, []byte) bool { select {} })
--- a/internal/node/side_test.go
+++ b/internal/node/side_test.go
@@ -89,6 +89,31 @@
 	}
 }
 
+// What the agent has counts from a new process's first moment: no client is taken before it has
+// told, so that the saved list, which may be old, sends nobody to a server that has left.
+func TestNewProcessStartsFromWhatTheAgentHas(t *testing.T) {
+	old, young := newAppServer(t, say(okAnswer)), newAppServer(t, say(okAnswer))
+	tells := make(chan struct{})
+	cfg := testConfig(old.instance("a"))
+	cfg.listFor = patience
+	whole := listJSON(8, true, young.instance("b"))
+	cfg.Discovery = discovery(t, func() string { <-tells; return whole }, func(n int, _ string, w io.Writer, ctx context.Context) {
+		<-tells
+		fmt.Fprintf(w, "%s\n", whole)
+		beat(ctx, w)
+	})
+	n := run(t, cfg)
+	c := dial(t, n.addr)
+	c.send(request("check", "t1")) // waits in the listener's line
+	close(tells)
+	if a := c.read(); a.status != http.StatusOK {
+		t.Errorf("answer %+v", a)
+	}
+	if len(old.requests()) > 0 || len(young.requests()) != 1 {
+		t.Errorf("%d requests to the server of the saved list, %d to the agent's", len(old.requests()), len(young.requests()))
+	}
+}
+
 // A reload moves the watch at once and asks the new agent for the whole list: its versions
 // are its own. A configuration that can't be changes nothing.
 func TestReloadMovesTheWatch(t *testing.T) {
