Send nothing of a request behind its final answer, nor on an attempt given up

Node.end answered the client while an attempt still waited for its connection; the attempt was given up, if at all, by its context, whose end reaches the socket in a goroutine of its own (context.AfterFunc in upstream.exchange), so that a connection which came up in between was written.

The first write of a request now looks, under the mutex that Node.end and Cancel take before the answer goes out, whether the request is over or the attempt given up. TestNothingIsSentBehindTheFinalAnswer fails without it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -187,6 +187,7 @@
 		return
 	}
 	fl.done = true
+	n.up.withdraw(&fl.msg) // before the answer: an attempt whose connection comes up late is not sent behind it
 	fl.answer <- a
 	n.forget(fl)
 }
@@ -273,7 +274,7 @@
 
 func (a *actions) Cancel(id string, attempt int) {
 	if fl := a.flights[id]; fl != nil && attempt >= 0 && attempt < len(fl.attempts) {
-		fl.attempts[attempt].cancel()
+		a.up.cancel(fl.attempts[attempt].cancel)
 	}
 }
 
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -43,6 +43,7 @@
 	key         string // Idempotency-Key
 	contentType string
 	body        []byte
+	over        bool // nothing of it may be sent any more; under the mutex of upstream
 }
 
 // reply is an app server's whole answer.
@@ -237,6 +238,7 @@
 var (
 	errUnknown = errors.New("server is not up in the list")
 	errBudget  = errors.New("no descriptor left for a connection")
+	errOver    = errors.New("the request has its final answer")
 )
 
 // take returns a connection to the server: the idle one used last, if it still
@@ -371,12 +373,15 @@
 	req := m.request(ctx)
 	var out bytes.Buffer
 	if err = req.Write(&out); err == nil {
-		err = u.write(c, out.Bytes())
+		err = u.write(ctx, c, m, out.Bytes())
 	}
 	if err != nil {
 		// A server begins a request when its last byte has come, and that was not written.
 		stop()
 		u.discard(c)
+		if errors.Is(err, errOver) {
+			return reply{}, choice.Moot
+		}
 		return reply{}, neverSent(ctx)
 	}
 	written := time.Now()
@@ -409,17 +414,37 @@
 	return rep, result
 }
 
-// write writes a request, unless its server has left the list by the time its first byte would
-// go out: a send that has not begun when the news is applied must not begin any more, however
-// long ago it was decided.
-func (u *upstream) write(c *conn, text []byte) error {
+// withdraw has nothing of a message sent from now on; what has been begun goes on.
+func (u *upstream) withdraw(m *message) {
+	u.mu.Lock()
+	m.over = true
+	u.mu.Unlock()
+}
+
+// cancel gives an attempt up.
+func (u *upstream) cancel(attempt context.CancelFunc) {
+	u.mu.Lock()
+	attempt()
+	u.mu.Unlock()
+}
+
+// write writes a request, unless by the time its first byte would go out its server has left
+// the list, it has its final answer or its attempt was given up: a send that has not begun by
+// then must not begin any more, however long ago it was decided.
+func (u *upstream) write(ctx context.Context, c *conn, m *message, text []byte) error {
 	var n int
 	var err error
 	if failed := c.raw.Write(func(fd uintptr) bool {
-		u.mu.Lock() // for one system call that does not wait: what update has done holds from here on
+		u.mu.Lock() // for one system call that does not wait: what update, withdraw and cancel have done holds from here on
 		defer u.mu.Unlock()
-		if !c.of.up {
+		err = ctx.Err()
+		switch {
+		case m.over:
+			err = errOver
+		case !c.of.up:
 			err = errUnknown
+		}
+		if err != nil {
 			return true
 		}
 		for {
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -535,6 +537,46 @@
 	}
 }
 
+// A request that has its final answer is not sent any more, also where its attempt has its connection
+// and nobody has told it.
+func TestNothingIsSentBehindTheFinalAnswer(t *testing.T) {
+	srv := newAppServer(t, say(okAnswer))
+	n, err := newNode(t.Context(), testConfig(srv.instance("a")), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.boot()
+	c, err := n.up.take(t.Context(), "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fl := &flight{id: "t1", msg: get, answer: make(chan answer, 1)}
+	n.mu.Lock()
+	n.end(fl, answer{kind: failed})
+	n.mu.Unlock()
+	n.up.giveBack(c)
+	if _, result := n.up.exchange(t.Context(), "a", &fl.msg); result != choice.Moot {
+		t.Errorf("result %v", result)
+	}
+	c, err = n.up.take(t.Context(), "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, giveUp := context.WithCancel(t.Context())
+	n.up.cancel(giveUp)
+	if err := n.up.write(ctx, c, &message{}, []byte("GET /givenup HTTP/1.1\r\nHost: a\r\n\r\n")); !errors.Is(err, context.Canceled) {
+		t.Errorf("an attempt that was given up is written: %v", err)
+	}
+	n.up.giveBack(c)
+	if _, result := n.up.exchange(t.Context(), "a", &message{method: "GET", target: "/other"}); result != choice.OK {
+		t.Errorf("another request: result %v", result)
+	}
+	if got := srv.requests(); len(got) != 1 || got[0] != "GET /other " {
+		t.Errorf("sent %q", got)
+	}
+	n.close()
+}
+
 // A request that was decided on and has its connection, but whose first byte has not gone out
 // when the news of the drain is applied, stays here: on a kept connection as on a new one.
 func TestDrainBeforeTheFirstByte(t *testing.T) {
@@ -555,7 +597,7 @@
 		before := len(srv.requests())
 		in.State = choice.Draining
 		closeAll(u.update([]Instance{in}, false))
-		if err := u.write(c, []byte("GET /late HTTP/1.1\r\nHost: a\r\n\r\n")); err != errUnknown {
+		if err := u.write(t.Context(), c, &message{}, []byte("GET /late HTTP/1.1\r\nHost: a\r\n\r\n")); err != errUnknown {
 			t.Errorf("kept %v: written with error %v", kept, err)
 		}
 		c.SetDeadline(time.Now().Add(patience))
