Answer requests whose heads arrive as a planned restart's drain ends

At fault: front.drain called the library's Shutdown, and net/http's conn.serve returns with no answer from a request that it has just read once shuttingDown() is set ("if c.server.shuttingDown() { return }" right after readRequest). Ruled out: the listener's queue (that is a reset, not an end), connections given up for others (none crowded), the process's exit (Shutdown had waited for it).

The drain now closes the listener, then the connections on which nothing is open or coming, until none is left or the longest wait is over. A connection is marked under the mutex that its reads take, so that what is read is answered and what is not read may be sent again, as the protocol says. TestRequestThatComesAsTheDrainEndsIsAnswered fails with Shutdown in its place.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -30,6 +29,7 @@
 	writeLimit = 10 * time.Second        // for the writing of an answer, behind the longest wait for it
 	idleLimit  = 30 * time.Second        // for a connection between requests
 	drainTime  = 500 * time.Millisecond  // connections still come for 0.4 s after a planned restart begins
+	drainLook  = 5 * time.Millisecond    // from one look at connections that have become idle to the next
 	otherFiles = 48                      // descriptors that are neither a client's nor an app server's
 )
 
@@ -71,27 +71,33 @@
 	return f
 }
 
-// serve answers clients until drain has ended.
+// serve answers clients until drain closes the listener.
 func (f *front) serve(ln net.Listener) error {
-	if err := f.srv.Serve(&slotListener{Listener: ln, slots: f.slots}); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("listen: %w", err)
+	err := f.srv.Serve(&slotListener{Listener: ln, slots: f.slots})
+	if f.draining.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return nil
+	return fmt.Errorf("listen: %w", err)
 }
 
 // drain ends serving. Clients still come for a while and are still answered, on
 // connections that close after the answer; then the listener closes, and what was
 // taken is finished. Closing at once would lose what crosses the close.
-func (f *front) drain() {
+//
+// The library's own Shutdown is not used: from its start it drops, with no answer, each
+// request whose head it has just read.
+func (f *front) drain(ln net.Listener) {
 	f.ready.Store(false)
 	f.draining.Store(true)
 	<-time.After(f.node.cfg.drainFor)
-	ctx, cancel := context.WithTimeout(context.Background(), f.longestWait())
-	defer cancel()
-	if err := f.srv.Shutdown(ctx); err != nil {
-		// Only connections that never sent a request are left: the deadlines of all taken are past.
-		f.srv.Close()
-	}
+	ln.Close()
+	look := time.NewTicker(drainLook)
+	defer look.Stop()
+	for end := time.Now().Add(f.longestWait()); f.slots.closeIdle() > 0 && time.Now().Before(end); {
+		<-look.C
+	}
+	// Only connections that never sent a whole request are left: the deadlines of all taken are past.
+	f.srv.Close()
 }
 
 // longestWait is how long after a request's arrival its final answer may be due.
@@ -199,6 +205,9 @@
 // reply words a final answer.
 func (f *front) reply(w http.ResponseWriter, a answer) {
 	h := w.Header()
+	if f.draining.Load() { // also where the request came before
+		h.Set("Connection", "close")
+	}
 	switch a.kind {
 	case served:
 		if a.reply.contentType != "" {
--- a/internal/node/front_test.go
+++ b/internal/node/front_test.go
@@ -402,6 +402,26 @@
 }
 
 // The descriptors of both sides and the rest stay inside the limit together.
+// A request whose head is on its way as the listener closes is taken and answered; a connection on which
+// nothing comes is closed.
+func TestRequestThatComesAsTheDrainEndsIsAnswered(t *testing.T) {
+	s := newAppServer(t, say(okAnswer))
+	n := run(t, testConfig(s.instance("a")))
+	kept, quiet := dial(t, n.addr), dial(t, n.addr)
+	kept.ask(request("check", "t1"))
+	quiet.ask(request("check", "t2"))
+	text := request("check", "t3")
+	kept.send(text[:20])
+	n.stop()
+	if _, err := quiet.br.ReadByte(); err != io.EOF {
+		t.Errorf("an idle connection at the drain's end: %v", err)
+	}
+	kept.send(text[20:])
+	if a := kept.read(); a.status != http.StatusOK || !a.close {
+		t.Errorf("answer %+v", a)
+	}
+}
+
 func TestDescriptorShares(t *testing.T) {
 	for _, all := range []int{leastSockets, 1024} {
 		if c, s := clientSockets(all), serverSockets(all); c < 1 || s < c || c+s+otherFiles > all {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -78,7 +78,7 @@
 		}
 	}
 	logger.Info("draining", "node", cfg.Name)
-	f.drain()
+	f.drain(ln)
 	stop()
 	n.close()
 	logger.Info("drained", "node", cfg.Name)
--- a/internal/node/slots.go
+++ b/internal/node/slots.go
@@ -85,6 +85,26 @@
 	return spare
 }
 
+// closeIdle closes the connections on which no request is open or coming, and returns how many
+// are left. What comes on a closed one is not taken in, so that its client may send it again.
+func (s *slots) closeIdle() (left int) {
+	s.mu.Lock()
+	var spare []*slotConn
+	for c := range s.conns {
+		if (c.state == idle || c.state == silent) && !c.waiting() {
+			s.leave(c, ended)
+			delete(s.conns, c)
+			spare = append(spare, c)
+		}
+	}
+	left = len(s.conns)
+	s.mu.Unlock()
+	for _, c := range spare {
+		c.Conn.Close()
+	}
+	return left
+}
+
 // leave changes the state of a connection that counts. Called under the mutex.
 func (s *slots) leave(c *slotConn, to slotState) {
 	if c.state == silent {
