Open the listener of a new process only once its list has come

runOn now takes how the listener is opened and does so after the wait; clients that come before are refused, which they may try elsewhere. The test of the new process fails if the listener is opened first. With it a benchmark of whole lists of 60 to 1,024 entries.

--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -142,7 +142,9 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	r := &running{addr: ln.Addr().String(), stop: stop, done: make(chan error, 1), logs: &syncBuffer{}, hup: make(chan os.Signal, 1)}
-	go func() { r.done <- runOn(ctx, cfg, r.hup, slog.New(slog.NewTextHandler(r.logs, nil)), ln) }()
+	go func() {
+		r.done <- runOn(ctx, cfg, r.hup, slog.New(slog.NewTextHandler(r.logs, nil)), func() (net.Listener, error) { return ln, nil })
+	}()
 	t.Cleanup(func() {
 		stop()
 		select {
--- /dev/null
+++ b/internal/node/list_bench_test.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"testing"
+
+	"mulleinmux/choice"
+)
+
+// BenchmarkList takes whole lists in, from the bytes of a watch to the module: on one line, indented
+// over many, and in pieces of 48 bytes.
+func BenchmarkList(b *testing.B) {
+	for _, size := range []int{60, 350, 1024} {
+		var all []Instance
+		for i := range size {
+			all = append(all, Instance{Server: choice.Server{ID: fmt.Sprintf("s-%08x", i*7919), Zone: "z", Kind: "k", Cell: i / 6, Weight: 1},
+				Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, byte(i / 250), byte(i % 250)}), 8080)})
+		}
+		line := []byte(listJSON(9, true, all...))
+		var indented bytes.Buffer
+		if err := json.Indent(&indented, line, "", "  "); err != nil {
+			b.Fatal(err)
+		}
+		for _, c := range []struct {
+			name  string
+			text  []byte
+			piece int
+		}{{"line", line, len(line)}, {"indented", indented.Bytes(), indented.Len()}, {"pieces", line, 48}} {
+			b.Run(fmt.Sprint(c.name, "/", size), func(b *testing.B) {
+				n, err := newNode(b.Context(), testConfig(), slog.New(slog.DiscardHandler))
+				if err != nil {
+					b.Fatal(err)
+				}
+				n.boot()
+				b.ReportAllocs()
+				b.SetBytes(int64(len(c.text)))
+				for b.Loop() {
+					var in reader
+					for rest := c.text; len(rest) > 0; rest = rest[min(c.piece, len(rest)):] {
+						for _, e := range in.read(rest[:min(c.piece, len(rest))], nil) {
+							if e.kind == eventMessage {
+								n.heard(e.list)
+							}
+						}
+					}
+					if len(n.up.backends) != size {
+						b.Fatalf("%d of %d servers", len(n.up.backends), size)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -15,16 +15,11 @@
 // Run runs an edge node until ctx ends, then drains it. At each signal on reload it
 // reads its configuration again.
 func Run(ctx context.Context, cfg *Config, reload <-chan os.Signal, logger *slog.Logger) error {
-	ln, err := net.Listen("tcp", cfg.Listen.String())
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	return runOn(ctx, cfg, reload, logger, ln)
+	return runOn(ctx, cfg, reload, logger, func() (net.Listener, error) { return net.Listen("tcp", cfg.Listen.String()) })
 }
 
-// runOn is Run on a listener that is open.
-func runOn(ctx context.Context, cfg *Config, reload <-chan os.Signal, logger *slog.Logger, ln net.Listener) error {
-	defer ln.Close()
+// runOn is Run on the listener that listen opens.
+func runOn(ctx context.Context, cfg *Config, reload <-chan os.Signal, logger *slog.Logger, listen func() (net.Listener, error)) error {
 	life, stop := context.WithCancel(context.Background())
 	defer stop()
 	n, err := newNode(life, cfg, logger)
@@ -53,13 +48,19 @@
 	side.Go(func() { n.up.reap(life) })
 	defer stop() // before the wait for what life owns
 
-	// The saved list may be old, and what discovery has counts from the first moment.
+	// The saved list may be old, and what discovery has counts from the first moment. Clients are
+	// refused meanwhile: the wait of a request that stands in the listener's line passes unseen.
 	select {
 	case <-reg.heard:
 	case <-time.After(cfg.listFor):
 		logger.Warn("discovery has told nothing yet: the saved list holds")
 	case <-ctx.Done():
 	}
+	ln, err := listen()
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	defer ln.Close()
 	f := newFront(n)
 	failed := make(chan error, 1)
 	side.Go(func() { failed <- f.serve(ln) })
--- a/internal/node/side_test.go
+++ b/internal/node/side_test.go
@@ -93,25 +93,49 @@
 // told, so that the saved list, which may be old, sends nobody to a server that has left.
 func TestNewProcessStartsFromWhatTheAgentHas(t *testing.T) {
 	old, young := newAppServer(t, say(okAnswer)), newAppServer(t, say(okAnswer))
-	tells := make(chan struct{})
+	tells, opened := make(chan struct{}), make(chan bool, 1)
 	cfg := testConfig(old.instance("a"))
 	cfg.listFor = patience
 	whole := listJSON(8, true, young.instance("b"))
-	cfg.Discovery = discovery(t, func() string { <-tells; return whole }, func(n int, _ string, w io.Writer, ctx context.Context) {
+	asked := make(chan struct{}, 100)
+	cfg.Discovery = discovery(t, func() string { asked <- struct{}{}; <-tells; return whole }, func(n int, _ string, w io.Writer, ctx context.Context) {
 		<-tells
 		fmt.Fprintf(w, "%s\n", whole)
 		beat(ctx, w)
 	})
-	n := run(t, cfg)
-	c := dial(t, n.addr)
-	c.send(request("check", "t1")) // waits in the listener's line
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- runOn(ctx, cfg, nil, slog.New(slog.DiscardHandler), func() (net.Listener, error) {
+			select {
+			case <-tells:
+				opened <- true
+			default: // a client that connects now would wait for a list that may not come
+				opened <- false
+			}
+			return ln, nil
+		})
+	}()
+	await(t, "the agent is asked", asked)
 	close(tells)
-	if a := c.read(); a.status != http.StatusOK {
+	if !await(t, "the listener", opened) {
+		t.Error("clients are taken before the agent has told what it has")
+	}
+	c := dial(t, ln.Addr().String())
+	if a := c.ask(request("check", "t1")); a.status != http.StatusOK {
 		t.Errorf("answer %+v", a)
 	}
 	if len(old.requests()) > 0 || len(young.requests()) != 1 {
 		t.Errorf("%d requests to the server of the saved list, %d to the agent's", len(old.requests()), len(young.requests()))
 	}
+	stop()
+	if err := await(t, "the node's end", done); err != nil {
+		t.Error(err)
+	}
 }
 
 // A reload moves the watch at once and asks the new agent for the whole list: its versions
