--- a/cmd/opalhook/main.go
+++ b/cmd/opalhook/main.go
@@ -16,9 +16,15 @@
 // errNotMet ends the command with exitNotMet; what was not met has been told.
 var errNotMet = errors.New("not met")
 
+// badInput is an error of what was asked for: a scenario, a range, a name that can't be.
+type badInput struct{ error }
+
+func (e badInput) Unwrap() error { return e.error }
+
 // Exit codes.
 const (
 	exitError  = 1 // it could not be done
+	exitUsage  = 2 // what was asked for can't be
 	exitNotMet = 3 // it was done, and a rule or an expectation was not met
 	exitSignal = 130
 )
@@ -36,6 +42,9 @@
 		os.Exit(exitSignal)
 	default:
 		fmt.Fprintln(os.Stderr, "opalhook:", err)
+		if errors.As(err, new(badInput)) {
+			os.Exit(exitUsage)
+		}
 		os.Exit(exitError)
 	}
 }
--- /dev/null
+++ b/internal/lab/trial.go
@@ -0,0 +1,259 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Aims are the rules that a trial may be drawn to strain.
+var Aims = []string{"drains", "lost", "cold", "ceilings", "twice"}
+
+// Bounds of what is drawn: a fleet that a few cores can carry several of.
+const (
+	trialRate     = 140.0 // requests a second
+	trialRelayed  = 40    // app servers at most where links go through relays: there is one for each node and server
+	trialTail     = 5 * time.Second
+	trialFirst    = time.Second
+	trialSettings = 1 // stream of the deployment, apart from the time line's
+	trialFaults   = 2
+)
+
+// drawn draws figures of one trial.
+type drawn struct{ rng *rand.Rand }
+
+func (d drawn) in(least, most float64) float64 { return least + (most-least)*d.rng.Float64() }
+func (d drawn) scale(least, most float64) float64 {
+	return math.Exp(d.in(math.Log(least), math.Log(most)))
+}
+func (d drawn) count(least, most int) int { return least + d.rng.IntN(most-least+1) }
+func (d drawn) chance(x float64) bool     { return d.rng.Float64() < x }
+func (d drawn) of(all ...string) string   { return all[d.rng.IntN(len(all))] }
+func (d drawn) time(least, most time.Duration) Duration {
+	return Duration(time.Duration(d.in(float64(least), float64(most))).Round(10 * time.Millisecond))
+}
+
+// shares are parts of 1, to three digits.
+func (d drawn) shares(n int) []float64 {
+	parts, left := make([]float64, n), 1.0
+	for i := range parts[:n-1] {
+		parts[i] = math.Round(left*d.in(0.2, 0.8)*1000) / 1000
+		left -= parts[i]
+	}
+	parts[n-1] = math.Round(left*1000) / 1000
+	return parts
+}
+
+func round(x float64) float64 { return math.Round(x*100) / 100 }
+
+// DrawTrial draws a deployment within what the platform's protocol describes and a time line of
+// faults on it, both by the seed alone. aim is one of Aims, or "" for anything.
+func DrawTrial(seed uint64, aim string) (*Scenario, error) {
+	if aim != "" && !slices.Contains(Aims, aim) {
+		return nil, fmt.Errorf("rule: %q is none of %v", aim, Aims)
+	}
+	s := defaults()
+	s.Name, s.About = fmt.Sprintf("trial-%d", seed), "drawn by the sweep"
+	if aim != "" {
+		s.Name += "-" + aim
+		s.About += ", aimed at " + aim
+	}
+	s.deployment(drawn{rand.New(rand.NewPCG(seed, streamTrials<<8|trialSettings))}, aim)
+	s.timeline(drawn{rand.New(rand.NewPCG(seed, streamTrials<<8|trialFaults))}, aim)
+	if err := s.validate(); err != nil {
+		return nil, fmt.Errorf("trial of seed %d: %w", seed, err)
+	}
+	return &s, nil
+}
+
+func (s *Scenario) deployment(d drawn, aim string) {
+	f, l := &s.Fleet, &s.Load
+	s.Classes, s.Plans = nil, nil
+	f.Nodes = d.count(1, 4)
+	if d.chance(0.1) {
+		f.Nodes = d.count(8, 12)
+	}
+	switch x := d.rng.Float64(); {
+	case x < 0.35:
+		f.Servers = d.count(3, 12)
+	case x < 0.75:
+		f.Servers = d.count(12, trialRelayed)
+	default:
+		f.Servers = d.count(140, 260)
+	}
+	f.Zones = nil
+	for i := range d.count(1, 4) {
+		f.Zones = append(f.Zones, fmt.Sprintf("z%d", i))
+	}
+	f.Cores, f.SlotsPerCore, f.QueuePerCore = d.count(1, 8), d.count(2, 6), d.count(8, 30)
+	f.Thrash, f.ThrashAt = round(d.in(0.04, 0.3)), round(d.in(3, 8))
+	f.ColdFrom, f.Ramp = round(d.in(0.16, 0.46)), d.time(5*time.Second, 16*time.Second)
+	f.FallMultiple, f.FallFor = round(d.in(2, 4)), d.time(1500*time.Millisecond, 3*time.Second)
+	f.Connections, f.HandshakeWork, f.ConnIdle = f.Cores*d.count(100, 800), d.time(0, 2*time.Millisecond), d.time(2*time.Second, 30*time.Second)
+	f.ReportEvery, f.ReportLate = d.time(100*time.Millisecond, 700*time.Millisecond), d.time(20*time.Millisecond, 300*time.Millisecond)
+	f.ListLate = d.time(50*time.Millisecond, time.Second)
+	f.NoPeers, f.InboxPerS, f.PeerLoss, f.PeerDelay = d.chance(0.25), float64(d.count(20, 80)), round(d.in(0, 0.08)), d.time(time.Millisecond, 20*time.Millisecond)
+	f.StaleKnown = d.chance(0.5)
+	if f.ListAsked = d.chance(0.3); f.ListAsked && d.chance(0.5) {
+		f.ListCallsPerS = float64(f.Nodes * d.count(2, 10))
+	}
+	f.MemoryMB, f.Sockets = d.count(64, 192), d.count(256, 1024)
+
+	shares := d.shares(d.count(1, 4))
+	for i, x := range shares {
+		s.Classes = append(s.Classes, Class{Name: fmt.Sprintf("class-%d", i), Share: x, Unsafe: d.chance(0.5), Worth: float64(d.count(1, 6))})
+	}
+	shares = d.shares(d.count(1, 4))
+	for i, x := range shares {
+		p := Plan{Name: fmt.Sprintf("plan-%d", i), Share: x, Rate: round(d.scale(1, 60)), Price: round(d.in(0.5, 2)), OverWorth: round(d.in(0, 0.2)), OverCost: round(d.in(0, 1.2))}
+		p.Burst = math.Ceil(max(2*mostUnits, p.Rate*d.in(1, 5)))
+		if d.chance(0.5) || aim == "ceilings" {
+			times := d.in(1.7, 2.5)
+			p.CeilingRate, p.CeilingBurst = round(p.Rate*times), math.Ceil(max(p.Burst*times, 4*mostUnits))
+			p.Slack = max(mostUnits, math.Ceil(p.CeilingBurst/10))
+		}
+		s.Plans = append(s.Plans, p)
+	}
+	l.WorkMS = math.Round(d.scale(15, 150))
+	l.Rate = math.Ceil(min(trialRate, d.in(0.2, 0.7)*float64(f.Servers*f.Cores)*1000/l.WorkMS))
+	l.Deadline = d.time(400*time.Millisecond, 4*time.Second)
+	l.Aim = Duration(time.Duration(float64(l.Deadline) * d.in(0.2, 0.7)).Round(10 * time.Millisecond))
+	l.Retries, l.Honour, l.MarkRetry = d.count(0, 3), round(d.in(0.3, 1)), d.chance(0.5)
+	l.Skew, l.Spread, l.Heavy = round(d.in(0, 1.5)), round(d.in(0, 1)), round(d.in(0, 0.15))
+	l.FrontSees, l.ShiftEvery = d.time(500*time.Millisecond, 3*time.Second), d.time(3*time.Second, 20*time.Second)
+}
+
+// timeline draws what goes wrong: a few troubles, each of one fault or of several that belong
+// together, and the end of the run far enough behind the last.
+func (s *Scenario) timeline(d drawn, aim string) {
+	kinds := map[string][]func(drawn, Duration){
+		"drains":   {s.drains},
+		"lost":     {s.restarts, s.restarts, s.servers, s.lists},
+		"cold":     {s.colds, s.colds, s.lists},
+		"ceilings": {s.peers, s.restarts, s.bursts},
+		"twice":    {s.servers, s.servers, s.restarts},
+	}
+	all := kinds[aim]
+	if aim == "" {
+		all = []func(drawn, Duration){s.drains, s.lists, s.restarts, s.servers, s.colds, s.peers, s.bursts, s.cuts}
+	}
+	at := d.time(trialFirst, 3*time.Second)
+	for range d.count(1, 3) {
+		all[d.rng.IntN(len(all))](d, at)
+		at += d.time(300*time.Millisecond, 2500*time.Millisecond)
+	}
+	last := at
+	for _, ft := range s.Faults {
+		last = max(last, ft.At+ft.For)
+		if ft.Kind == "list-silent" {
+			last = max(last, ft.At+Duration(silentTold))
+		}
+	}
+	for _, b := range s.Load.Bursts {
+		last = max(last, b.At+b.For)
+	}
+	s.Duration = last + Duration(trialTail)
+}
+
+func (s *Scenario) fault(ft Fault) { s.Faults = append(s.Faults, ft) }
+
+// lists disturbs the way to the list.
+func (s *Scenario) lists(d drawn, at Duration) {
+	switch d.rng.IntN(8) {
+	case 0, 1:
+		s.fault(Fault{At: at, Kind: "list-reset"})
+	case 2, 3:
+		s.fault(Fault{At: at, Kind: "list-silent"})
+	case 4:
+		s.fault(Fault{At: at, Kind: "list-down", For: d.time(500*time.Millisecond, 5*time.Second)})
+	case 5:
+		s.fault(Fault{At: at, Kind: "hup", Share: 1})
+	case 6:
+		s.fault(Fault{At: at, Kind: "list-words", For: d.time(3*time.Second, 8*time.Second), Does: d.of(listWords...)})
+	default:
+		s.fault(Fault{At: at, Kind: "list-late", For: d.time(time.Second, 5*time.Second), Late: d.time(100*time.Millisecond, 2*time.Second)})
+	}
+}
+
+// drains has app servers drain behind a disturbance of the list, or within one.
+func (s *Scenario) drains(d drawn, at Duration) {
+	s.lists(d, at)
+	last := s.Faults[len(s.Faults)-1]
+	drain := Fault{Kind: "drain", At: at + d.time(0, 3*time.Second), Share: round(d.in(0.2, 0.75))}
+	if last.For > 0 && d.chance(0.5) { // into its end
+		drain.At = at + last.For - Duration(d.in(0, float64(min(last.For, Duration(time.Second)))))
+	}
+	if d.chance(0.3) {
+		drain.Step = d.time(0, 100*time.Millisecond)
+	}
+	s.fault(drain)
+	if d.chance(0.3) && !s.endsNodes() {
+		s.fault(Fault{Kind: d.of("kill", "restart"), At: at + d.time(0, 2*time.Second), For: d.time(300*time.Millisecond, 2*time.Second), Count: 1})
+	}
+}
+
+// endsNodes tells whether a fault ends or stops nodes already: two at once would have a node run twice.
+func (s *Scenario) endsNodes() bool {
+	return slices.ContainsFunc(s.Faults, func(ft Fault) bool { return slices.Contains([]string{"kill", "restart", "stall"}, ft.Kind) })
+}
+
+// restarts ends and starts nodes, or stops them.
+func (s *Scenario) restarts(d drawn, at Duration) {
+	if s.endsNodes() {
+		s.servers(d, at)
+		return
+	}
+	switch d.rng.IntN(4) {
+	case 0:
+		s.fault(Fault{At: at, Kind: "kill", For: d.time(300*time.Millisecond, 3*time.Second), Share: round(d.in(0.2, 0.8))})
+	case 1:
+		s.fault(Fault{At: at, Kind: "stall", For: d.time(200*time.Millisecond, 2*time.Second), Count: 1})
+	default:
+		s.fault(Fault{At: at, Kind: "restart", Share: 1, Step: d.time(300*time.Millisecond, 1500*time.Millisecond)})
+		if d.chance(0.6) {
+			s.fault(Fault{At: at, Kind: "hang", For: d.time(2*time.Second, 6*time.Second), Share: round(d.in(0.2, 0.5))})
+		}
+	}
+}
+
+// servers has app servers misbehave.
+func (s *Scenario) servers(d drawn, at Duration) {
+	ft := Fault{At: at, For: d.time(time.Second, 6*time.Second), Share: round(d.in(0.05, 0.5)), Kind: d.of("slow", "hang", "error", "reset", "spoil", "dead")}
+	switch ft.Kind {
+	case "slow":
+		ft.Size = round(d.in(2, 10))
+	case "error", "reset", "spoil":
+		ft.Size = round(d.in(0.05, 0.6))
+	}
+	s.fault(ft)
+}
+
+// colds replaces app servers by cold ones.
+func (s *Scenario) colds(d drawn, at Duration) {
+	s.fault(Fault{At: at, Kind: "replace", Share: round(d.in(0.1, 0.6)), Step: d.time(0, 300*time.Millisecond)})
+	if d.chance(0.4) {
+		s.bursts(d, at+d.time(0, time.Second))
+	}
+}
+
+// peers disturbs what nodes tell one another.
+func (s *Scenario) peers(d drawn, at Duration) {
+	s.fault(Fault{At: at, Kind: "peer-loss", For: d.time(time.Second, 6*time.Second), Size: round(d.in(0.3, 1))})
+}
+
+func (s *Scenario) bursts(d drawn, at Duration) {
+	s.Load.Bursts = append(s.Load.Bursts, Burst{At: at, For: d.time(500*time.Millisecond, 4*time.Second), Times: round(d.in(1.3, 2.5))})
+}
+
+// cuts parts a zone from the others, or loses its app servers.
+func (s *Scenario) cuts(d drawn, at Duration) {
+	zone := d.of(s.Fleet.Zones...)
+	last := d.time(time.Second, 5*time.Second)
+	if s.Fleet.Servers > trialRelayed || len(s.Fleet.Zones) == 1 || d.chance(0.4) {
+		s.fault(Fault{At: at, Kind: "lose-zone", Zone: zone, For: last})
+		return
+	}
+	s.fault(Fault{At: at, Kind: "cut-zone", Zone: zone, For: last, Way: d.of("both", "in", "out")})
+}
