--- a/internal/node/follow_test.go
+++ b/internal/node/follow_test.go
@@ -449,6 +449,25 @@
 	}
 }
 
+// SIGHUP with the same address has the list read again where that is free, and costs nothing elsewhere.
+func TestReloadOfTheSameAddressReadsTheListAgain(t *testing.T) {
+	for _, pushed := range []bool{true, false} {
+		s := newSim(1, 350, pushed)
+		n := s.nodes[0]
+		s.run(5 * time.Second)
+		before, want := len(s.taken), 0
+		if pushed {
+			want = 2 // a fetch, and a watch that goes on from it
+		}
+		n.reg.moveTo(s.now, n.reg.addr)
+		n.step()
+		s.run(time.Minute)
+		if calls := len(s.taken) - before; calls != want {
+			t.Errorf("pushed %v: %d calls, want %d", pushed, calls, want)
+		}
+	}
+}
+
 // A fetch may be overtaken: what a watch has told since must not be taken back.
 func TestOvertakenFetchIsNotTaken(t *testing.T) {
 	f := follower{pushed: true, fleet: 1, rng: rand.New(rand.NewPCG(1, 1)), version: 4}
