--- a/internal/lab/list.go
+++ b/internal/lab/list.go
@@ -370,7 +370,7 @@
 	return at, true
 }
 
-// heard notes that the node's call was answered, or was not.
+// called notes that the node has called, and whether it is answered.
 func (a *agent) called(answered bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/node/follow_test.go
+++ b/internal/node/follow_test.go
@@ -218,7 +218,7 @@
 	return listJSON(s.version, false, a)
 }
 
-// tells runs f on all calls that are out.
+// each runs f on all calls that are out.
 func (s *sim) each(f func(c *simCall)) {
 	for _, c := range slices.Clone(s.calls) {
 		if !c.over {
