Take in what clients send in one step with their connection's state, and close behind it

Each of these was found at its lines and forced in a test:

- slotConn.Read took bytes in before it noted them, so that a look in between closed a connection with a request read and dropped.
- a connection counted as idle when its handler returned, before the library had written the answer: the drain could close it then.
It is idle once the library asks for the next request.
- a request that became whole on a connection given up for another had an empty 200, and so had a client that had closed only its sending side.
The first is cut off, the second is told that it failed.
- the library stops looking for a client that leaves at the first byte behind its request.
- a connection closed over unread bytes was reset under its answer.
- the listener closed over connections in its queue.
- SIGTERM before readiness opened the listener; SIGHUP waited for readiness and was lost in a drain.
- requests that come as the drain ends are due before the process may be killed.

--- /dev/null
+++ b/internal/node/cross_test.go
@@ -0,0 +1,565 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"mulleinmux/choice"
+)
+
+// Events that cross: each test holds one side until the other has acted.
+
+// between runs a function in the middle of a socket's read or write.
+type between struct {
+	syscall.RawConn
+	read, write, readDone func()
+}
+
+func (b between) Read(f func(uintptr) bool) error {
+	return b.RawConn.Read(func(fd uintptr) bool {
+		if b.read != nil {
+			b.read()
+		}
+		done := f(fd)
+		if done && b.readDone != nil {
+			b.readDone()
+		}
+		return done
+	})
+}
+
+func (b between) Write(f func(uintptr) bool) error {
+	return b.RawConn.Write(func(fd uintptr) bool {
+		if b.write != nil {
+			b.write()
+		}
+		return f(fd)
+	})
+}
+
+// writing runs a function before the first write on a client's connection, or once the HTTP library has
+// ended its look at the client behind it.
+type writing struct {
+	*net.TCPConn
+	before, behind func()
+	written        atomic.Bool
+}
+
+func (w *writing) Write(p []byte) (int, error) {
+	if before := w.before; before != nil {
+		w.before = nil
+		before()
+	}
+	defer w.written.Store(true)
+	return w.TCPConn.Write(p)
+}
+
+func (w *writing) SetReadDeadline(t time.Time) error {
+	if behind := w.behind; behind != nil && t.IsZero() && w.written.Load() {
+		w.behind = nil
+		behind()
+	}
+	return w.TCPConn.SetReadDeadline(t)
+}
+
+// hooked is a listener whose connections a test may change before they are served.
+type hooked struct {
+	*slotListener
+	change func(*slotConn)
+}
+
+func (h hooked) Accept() (net.Conn, error) {
+	c, err := h.slotListener.Accept()
+	if err == nil {
+		h.change(c.(*slotConn))
+	}
+	return c, err
+}
+
+func serveHooked(t *testing.T, cfg *Config, change func(f *front, c *slotConn)) (*front, string) {
+	t.Helper()
+	f := idleFront(t, cfg)
+	ln := listen(t)
+	go f.srv.Serve(hooked{newSlotListener(ln, f.slots), func(c *slotConn) { change(f, c) }})
+	t.Cleanup(func() { f.srv.Close() })
+	return f, ln.Addr().String()
+}
+
+// all returns the connections of clients.
+func (s *slots) all() (all []*slotConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		all = append(all, c)
+	}
+	return all
+}
+
+// taken tells whether all that has come of clients was read.
+func (s *slots) taken() bool {
+	for _, c := range s.all() {
+		if c.waiting() {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *slots) in(state slotState) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.state == state {
+			n++
+		}
+	}
+	return n
+}
+
+// The look that decides on a resting connection's close comes in the moment before its next request is
+// read, or in the moment after: both times the request is answered.
+func TestRequestCrossesTheLookAtARestingConnection(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		s := newAppServer(t, say(okAnswer))
+		var looks atomic.Bool
+		_, addr := serveHooked(t, testConfig(s.instance("a")), func(f *front, c *slotConn) {
+			look := func() {
+				if looks.Load() && (c.waiting() || !before) {
+					f.slots.closeIdle()
+				}
+			}
+			hook := between{RawConn: c.raw, readDone: look}
+			if before {
+				hook = between{RawConn: c.raw, read: look}
+			}
+			c.raw = hook
+		})
+		c := dial(t, addr)
+		c.ask(request("check", "t1"))
+		looks.Store(true)
+		if a := c.ask(request("check", "t2")); a.status != http.StatusOK {
+			t.Errorf("looked at before the read %v: %+v", before, a)
+		}
+	}
+}
+
+// What comes on a connection that was given up stays unread and has no answer, by which its client can
+// tell that it may ask again.
+func TestRequestBehindTheCloseStaysUnread(t *testing.T) {
+	s := newAppServer(t, say(okAnswer))
+	unread := make(chan bool, 1)
+	var asks atomic.Bool
+	_, addr := serveHooked(t, testConfig(s.instance("a")), func(f *front, c *slotConn) {
+		c.raw = between{RawConn: c.raw, read: func() {
+			if asks.Load() && c.waiting() {
+				f.slots.mu.Lock()
+				f.slots.leave(c, ended)
+				delete(f.slots.conns, c)
+				f.slots.mu.Unlock()
+			}
+		}, readDone: func() {
+			if asks.Load() {
+				unread <- c.waiting()
+			}
+		}}
+	})
+	c := dial(t, addr)
+	c.ask(request("check", "t1"))
+	asks.Store(true)
+	c.send(request("check", "t2"))
+	if !await(t, "the read", unread) {
+		t.Error("a request was taken in on a connection that was given up")
+	}
+	if _, err := c.br.ReadByte(); err == nil {
+		t.Error("something was answered on it")
+	}
+	if n := len(s.requests()); n != 1 {
+		t.Errorf("%d requests went on", n)
+	}
+}
+
+// A request that becomes whole on a connection that is given up for another one is answered by nobody:
+// an empty 200 is no answer of a server.
+func TestRequestOnAConnectionGivenUpIsNotAnswered(t *testing.T) {
+	var last atomic.Bool
+	f, addr := serveHooked(t, testConfig(), func(f *front, c *slotConn) {
+		c.raw = between{RawConn: c.raw, readDone: func() {
+			if !last.Load() {
+				return
+			}
+			f.slots.mu.Lock()
+			defer f.slots.mu.Unlock()
+			f.slots.leave(c, ended)
+			delete(f.slots.conns, c)
+		}}
+	})
+	c := dial(t, addr)
+	text := request("book", "t1")
+	c.send(text[:len(text)-2])
+	eventually(t, "the rest is waited for", func() bool { return f.slots.in(reading) == 1 && f.slots.taken() })
+	last.Store(true)
+	c.send(text[len(text)-2:])
+	if b, err := c.br.ReadByte(); err == nil {
+		t.Errorf("answered with %q...", b)
+	}
+}
+
+// While an answer is on its way its connection is not taken for a resting one.
+func TestAnswerUnderWayIsNotClosed(t *testing.T) {
+	s := newAppServer(t, say(okAnswer))
+	_, addr := serveHooked(t, testConfig(s.instance("a")), func(f *front, c *slotConn) {
+		c.Conn = &writing{TCPConn: c.Conn.(*net.TCPConn), before: func() { f.slots.closeIdle() }}
+	})
+	if a := dial(t, addr).ask(request("check", "t1")); a.status != http.StatusOK {
+		t.Errorf("answer %+v", a)
+	}
+}
+
+// Bytes that come behind a request, too late to be read, don't reset the connection under the answer.
+func TestUnreadBytesDoNotResetTheAnswer(t *testing.T) {
+	s := newAppServer(t, say(okAnswer))
+	var c *client
+	f, addr := serveHooked(t, testConfig(s.instance("a")), func(f *front, conn *slotConn) {
+		conn.Conn = &writing{TCPConn: conn.Conn.(*net.TCPConn), behind: func() {
+			c.send("bytes that nobody reads")
+			eventually(t, "they have come", conn.waiting)
+		}}
+	})
+	f.draining.Store(true) // so that the answer is the connection's last
+	c = dial(t, addr)
+	if a := c.ask(request("check", "t1")); a.status != http.StatusOK || !a.close {
+		t.Errorf("answer %+v", a)
+	}
+	if _, err := c.br.ReadByte(); err != io.EOF {
+		t.Errorf("behind the answer: %v, want an orderly end", err)
+	}
+	eventually(t, "its slot is free", func() bool { return len(f.slots.all()) == 0 })
+}
+
+// Connections that stand in the listener's queue when it is to close are taken and answered.
+func TestQueueIsEmptiedBeforeTheListenerCloses(t *testing.T) {
+	f := idleFront(t, testConfig())
+	f.ready.Store(true)
+	t.Cleanup(func() { f.srv.Close() })
+	ln := newSlotListener(listen(t), f.slots)
+	var clients []*client
+	for range 20 {
+		c := dial(t, ln.Addr().String())
+		c.send(readyRequest)
+		clients = append(clients, c)
+	}
+	closed := make(chan struct{})
+	go func() { ln.closeEmpty(); close(closed) }()
+	eventually(t, "the listener is told", func() bool { return ln.last.Load() != nil })
+	go f.serve(ln) // nobody accepted until now
+	for i, c := range clients {
+		if a := c.read(); a.status != http.StatusOK {
+			t.Errorf("client %d: %+v", i, a)
+		}
+	}
+	await(t, "the listener's close", closed)
+	if c, err := net.Dial("tcp", ln.Addr().String()); err == nil {
+		c.Close()
+		t.Error("the listener is still open")
+	}
+}
+
+// An order to end that comes before the node is ready ends it, with no listener opened.
+func TestEndBeforeReady(t *testing.T) {
+	cfg := testConfig()
+	cfg.listFor = patience
+	var asked chan struct{}
+	cfg.Discovery, asked = silentAgent(t)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- runOn(ctx, cfg, nil, slog.New(slog.DiscardHandler), func() (*net.TCPListener, error) {
+			return nil, errors.New("the listener was opened")
+		})
+	}()
+	await(t, "the agent is asked", asked)
+	stop()
+	if err := await(t, "the node's end", done); err != nil {
+		t.Error(err)
+	}
+}
+
+// silentAgent takes calls and answers none. called tells of each.
+func silentAgent(t *testing.T) (addr netip.AddrPort, called chan struct{}) {
+	called = make(chan struct{}, 1000)
+	ln := listen(t)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			called <- struct{}{}
+			defer c.Close()
+		}
+	}()
+	return addrOf(ln), called
+}
+
+// A new configuration holds whenever its signal comes: before the node is ready, and while it drains.
+func TestReloadAtAnyMoment(t *testing.T) {
+	t.Run("before it is ready", func(t *testing.T) {
+		s := newAppServer(t, say(okAnswer))
+		cfg := testConfig()
+		cfg.listFor = patience
+		var called chan struct{}
+		cfg.Discovery, called = silentAgent(t)
+		moved := *cfg
+		moved.Discovery = discovery(t, func() string { return listJSON(8, true, s.instance("a")) },
+			func(_ int, _ string, w io.Writer, ctx context.Context) { beat(ctx, w) })
+		cfg.reread = func() (*Config, error) { return &moved, nil }
+		n := run(t, cfg)
+		await(t, "the first agent is asked", called)
+		n.hup <- syscall.SIGHUP
+		if a := dial(t, n.addr).ask(request("check", "t1")); a.status != http.StatusOK {
+			t.Errorf("answer %+v", a)
+		}
+	})
+	t.Run("while it drains", func(t *testing.T) {
+		hold := make(chan struct{})
+		s := newAppServer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+			<-hold
+			return say(okAnswer)(c, r, body)
+		})
+		cfg := testConfig(s.instance("a"))
+		moved := *cfg
+		var called chan struct{}
+		moved.Discovery, called = silentAgent(t)
+		cfg.reread = func() (*Config, error) { return &moved, nil }
+		n := run(t, cfg)
+		c := dial(t, n.addr)
+		c.send(request("check", "t1"))
+		eventually(t, "request out", func() bool { return len(s.requests()) == 1 })
+		n.stop()
+		eventually(t, "draining", func() bool { return strings.Contains(n.logs.String(), "draining") })
+		n.hup <- syscall.SIGHUP
+		await(t, "the new agent is asked", called)
+		close(hold)
+		if a := c.read(); a.status != http.StatusOK {
+			t.Errorf("answer %+v", a)
+		}
+	})
+}
+
+// blocked is the address of a server whose machine gives no sign: connections to it don't come up.
+func blocked(t *testing.T) netip.AddrPort {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(at.(*syscall.SockaddrInet4).Port))
+	for range 3 { // fill its queue: what comes then is dropped
+		if c, err := net.DialTimeout("tcp", addr.String(), 100*time.Millisecond); err == nil {
+			t.Cleanup(func() { c.Close() })
+		}
+	}
+	return addr
+}
+
+// A client that leaves while its request waits for the first attempt takes it along, however it leaves and
+// whatever it has sent behind it.
+func TestClientLeavesBeforeTheFirstAttempt(t *testing.T) {
+	at := blocked(t)
+	var servers []Instance
+	for i := range 300 { // so many that no request is refused for those that are out
+		servers = append(servers, Instance{Server: choice.Server{ID: fmt.Sprint("s", i), Weight: 1, Kind: "k", Zone: "z"}, Addr: at})
+	}
+	cfg := testConfig(servers...)
+	cfg.Transport.ConnectTimeout = time.Hour
+	for i := range cfg.Settings.Classes {
+		cfg.Settings.Classes[i].Aim, cfg.Settings.Classes[i].Deadline = time.Hour, time.Hour
+	}
+	cfg.Sockets = 2048
+	f, addr := serveHooked(t, cfg, func(*front, *slotConn) {})
+	open := func() int {
+		f.node.mu.Lock()
+		defer f.node.mu.Unlock()
+		return len(f.node.flights)
+	}
+	ways := map[string]func(*client){
+		"closes": func(c *client) { c.Close() },
+		"resets": func(c *client) { c.Conn.(*net.TCPConn).SetLinger(0); c.Close() },
+		"closes its sending side": func(c *client) {
+			c.Conn.(*net.TCPConn).CloseWrite()
+			if a := c.read(); a.status != http.StatusBadGateway {
+				t.Errorf("a client that still reads has %+v, want that it failed", a)
+			}
+		},
+	}
+	ask := func(id, behind string) *client {
+		c := dial(t, addr)
+		c.send(request("check", id, "X-Expires-In", "3600"))
+		eventually(t, "the request waits", func() bool { return open() > 0 && f.slots.in(reading) == 0 })
+		c.send(behind)
+		return c
+	}
+	for name, leave := range ways {
+		for _, behind := range []string{"", "x", request("check", "next")} {
+			c := ask("t1", behind)
+			eventually(t, "it is read", f.slots.taken)
+			leave(c)
+			eventually(t, fmt.Sprintf("a client that has sent %d bytes more and %s is noticed", len(behind), name),
+				func() bool { return open() == 0 })
+		}
+	}
+	var burst []*client
+	for i := range 300 {
+		burst = append(burst, ask(fmt.Sprint("b", i), "more"))
+	}
+	eventually(t, "all wait", func() bool { return open() == len(burst) && f.slots.taken() })
+	for _, c := range burst {
+		c.Close()
+	}
+	eventually(t, "all are noticed", func() bool { return open() == 0 })
+}
+
+// What a client sends behind an open request is its next request, up to a bound.
+func TestBytesBehindARequest(t *testing.T) {
+	hold := make(chan struct{})
+	s := newAppServer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		<-hold
+		return say(okAnswer)(c, r, body)
+	})
+	f, addr := serveHooked(t, testConfig(s.instance("a")), func(*front, *slotConn) {})
+	c, flood := dial(t, addr), dial(t, addr)
+	c.send(request("book", "t1"))
+	eventually(t, "request out", func() bool { return len(s.requests()) == 1 })
+	c.send(request("book", "t2"))
+	eventually(t, "what stands behind it is read", f.slots.taken)
+	flood.send(request("check", "t3"))
+	eventually(t, "requests out", func() bool { return len(s.requests()) == 2 })
+	flood.send(strings.Repeat("x", 2*mostAhead))
+	if a := flood.read(); a.status != http.StatusBadGateway {
+		t.Errorf("answer to a flood %+v", a)
+	}
+	close(hold)
+	for i := range 2 {
+		if a := c.read(); a.status != http.StatusOK {
+			t.Errorf("request %d: %+v", i, a)
+		}
+	}
+}
+
+// Requests that come as the drain ends are due before the process may be killed, whatever wait they ask for.
+func TestLateRequestOfADrainIsDue(t *testing.T) {
+	f, addr := serveHooked(t, testConfig(), func(*front, *slotConn) {})
+	past := time.Now()
+	f.due.Store(&past)
+	if a := dial(t, addr).ask(request("check", "t1")); a.status != http.StatusTooManyRequests {
+		t.Errorf("answer %+v, want a refusal at once", a)
+	}
+}
+
+// Whatever becomes of the list's calls, and wherever a new configuration moves them in the middle of it, a
+// drain reaches the connections, where lists are pushed as where they are asked for.
+func TestIllListsTellTheDrain(t *testing.T) {
+	up := Instance{Server: choice.Server{ID: "a"}, Addr: netip.MustParseAddrPort("127.0.0.1:1")}
+	draining := up
+	draining.State = choice.Draining
+	whole, drain := listJSON(1, true, up), listJSON(2, false, draining)
+	indented := strings.NewReplacer("{", "{\n  ", ",", ",\n  ").Replace(drain)
+	reset := func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() }
+	for name, ill := range map[string]struct {
+		text string         // behind the whole list
+		then func(net.Conn) // what becomes of the watch
+	}{
+		"silent":                {"", func(net.Conn) {}},
+		"reset":                 {"", reset},
+		"indented":              {indented + "\n", func(net.Conn) {}},
+		"half a line, reset":    {drain[:len(drain)/2], reset},
+		"half a line, silent":   {drain[:len(drain)/2], func(net.Conn) {}},
+		"half an indented line": {indented[:len(indented)/2], reset},
+		"noise":                 {"<html>\n", func(net.Conn) {}},
+	} {
+		for _, pushed := range []bool{true, false} {
+			for _, moves := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/pushed=%v/moves=%v", name, pushed, moves), func(t *testing.T) {
+					t.Parallel()
+					// The first watch falls ill; whoever asks after it, here or at the next address, has the drain.
+					broken := make(chan struct{})
+					agent := func(first bool) netip.AddrPort {
+						ln := listen(t)
+						go func() {
+							for n := 0; ; {
+								c, err := ln.Accept()
+								if err != nil {
+									return
+								}
+								t.Cleanup(func() { c.Close() })
+								var head [512]byte
+								k, _ := c.Read(head[:])
+								io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+								if !strings.Contains(string(head[:k]), "watch=1") {
+									if first && !moves || !first {
+										select {
+										case <-broken:
+											io.WriteString(c, listJSON(2, true, draining))
+										default:
+											io.WriteString(c, whole)
+										}
+									}
+									c.Close()
+									continue
+								}
+								if n++; first && n == 1 {
+									io.WriteString(c, whole+"\n"+ill.text)
+									close(broken)
+									ill.then(c)
+								} else if !first || !moves { // this discovery has not heard of it, or it is down
+									io.WriteString(c, listJSON(2, true, draining)+"\n")
+								}
+							}
+						}()
+						return addrOf(ln)
+					}
+					told := make(chan List, 100)
+					r := newRegistry(agent(true), follower{pushed: pushed, fleet: 1, rng: rand.New(rand.NewPCG(1, 1))},
+						func(l List) { told <- l }, slog.New(slog.DiscardHandler))
+					ctx, end := context.WithCancel(t.Context())
+					defer end()
+					go r.run(ctx)
+					await(t, "the first watch", broken)
+					if moves {
+						r.move(ctx, agent(false))
+					}
+					for {
+						for _, s := range await(t, "the drain", told).Servers {
+							if s.ID == "a" && s.State == choice.Draining {
+								return
+							}
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -19,18 +19,20 @@
 )
 
 const (
-	readyPath  = "/health/ready"
-	maxBody    = 64 << 10                // bytes that the body of a request may hold
-	transit    = 10 * time.Millisecond   // taken off a client's wait, which counts from its send
-	mostUnits  = 1e6                     // of one request, where the settings don't tell
-	headLimit  = 1500 * time.Millisecond // for a request's header, from the connection's start or the first byte
-	restWait   = 250 * time.Millisecond  // for the rest of a body that is of no use
-	bodyLimit  = time.Second             // for its body
-	writeLimit = 10 * time.Second        // for the writing of an answer, behind the longest wait for it
-	idleLimit  = 30 * time.Second        // for a connection between requests
-	drainTime  = 500 * time.Millisecond  // connections still come for 0.4 s after a planned restart begins
-	drainLook  = 5 * time.Millisecond    // from one look at connections that have become idle to the next
-	otherFiles = 48                      // descriptors that are neither a client's nor an app server's
+	readyPath   = "/health/ready"
+	maxBody     = 64 << 10                // bytes that the body of a request may hold
+	transit     = 10 * time.Millisecond   // taken off a client's wait, which counts from its send
+	mostUnits   = 1e6                     // of one request, where the settings don't tell
+	headLimit   = 1500 * time.Millisecond // for a request's header, from the connection's start or the first byte
+	restWait    = 250 * time.Millisecond  // for the rest of a body that is of no use
+	bodyLimit   = time.Second             // for its body
+	writeLimit  = 10 * time.Second        // for the writing of an answer, behind the longest wait for it
+	idleLimit   = 30 * time.Second        // for a connection between requests
+	drainTime   = 500 * time.Millisecond  // connections still come for 0.4 s after a planned restart begins
+	drainLook   = 5 * time.Millisecond    // from one look at connections that have become idle to the next
+	killedAfter = 3 * time.Second         // a process may be killed so long after its order to end, or the longest wait if that is less,
+	killedMore  = 600 * time.Millisecond  // and so much longer
+	otherFiles  = 48                      // descriptors that are neither a client's nor an app server's
 )
 
 // serverSockets and clientSockets share out the descriptors. A request has one
@@ -46,6 +48,7 @@
 	slots    *slots
 	ready    atomic.Bool
 	draining atomic.Bool
+	due      atomic.Pointer[time.Time] // once the listener is closed: when each request that comes has to be answered
 	classes  map[string]choice.Class
 	plans    map[string]bool
 }
@@ -72,8 +75,8 @@
 }
 
 // serve answers clients until drain closes the listener.
-func (f *front) serve(ln net.Listener) error {
-	err := f.srv.Serve(&slotListener{Listener: ln, slots: f.slots})
+func (f *front) serve(ln *slotListener) error {
+	err := f.srv.Serve(ln)
 	if f.draining.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
@@ -86,14 +89,18 @@
 //
 // The library's own Shutdown is not used: from its start it drops, with no answer, each
 // request whose head it has just read.
-func (f *front) drain(ln net.Listener) {
+func (f *front) drain(ln *slotListener) {
 	f.ready.Store(false)
 	f.draining.Store(true)
+	began := time.Now()
 	<-time.After(f.node.cfg.drainFor)
-	ln.Close()
+	ln.closeEmpty()
+	// The process may be killed so long after its order to end; what came late has to be answered by then.
+	due := began.Add(min(f.longestWait(), killedAfter) + killedMore)
+	f.due.Store(&due)
 	look := time.NewTicker(drainLook)
 	defer look.Stop()
-	for end := time.Now().Add(f.longestWait()); f.slots.closeIdle() > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(f.longestWait() + lingerFor); f.slots.closeIdle() > 0 && time.Now().Before(end); {
 		<-look.C
 	}
 	// Only connections that never sent a whole request are left: the deadlines of all taken are past.
@@ -112,7 +119,11 @@
 // ServeHTTP answers one request of a client.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer func() {
-		if p := recover(); p != nil {
+		switch p := recover(); p {
+		case nil:
+		case http.ErrAbortHandler:
+			panic(p)
+		default:
 			f.node.log.Error("panic", "cause", p, "stack", string(debug.Stack()))
 			plain(w, http.StatusInternalServerError, "internal error")
 		}
@@ -121,7 +132,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	slot := slotOf(r)
-	defer slot.become(idle)
+	defer slot.become(answering)
 	if err := framing(r); err != nil {
 		f.turnDown(w, r, err)
 		return
@@ -140,9 +151,13 @@
 		return
 	}
 	if !slot.become(open) {
-		return // closed for another: nothing was sent on
+		// Closed for another: nothing was sent on. The library would take a return for an empty 200.
+		panic(http.ErrAbortHandler)
 	}
 	q.Grace -= time.Since(began)
+	if due := f.due.Load(); due != nil {
+		q.Grace = min(q.Grace, time.Until(*due))
+	}
 	deadline := time.Now().Add(q.Grace + f.node.cfg.Settings.AnswerSlack)
 	fl := f.node.begin(q, m, deadline)
 	if fl == nil {
@@ -156,8 +171,8 @@
 		f.reply(w, a)
 		return
 	case <-r.Context().Done():
+		// The client has gone, or has closed its sending side: then it still has to be told.
 		f.node.abandon(fl)
-		return
 	case <-late.C:
 		f.node.abandon(fl)
 	}
--- a/internal/node/front_test.go
+++ b/internal/node/front_test.go
@@ -322,11 +322,8 @@
 	f.node.mu.Lock() // its timers fire meanwhile
 	f.node.gw = nil
 	f.node.mu.Unlock()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go f.serve(ln)
+	ln := listen(t)
+	go f.serve(newSlotListener(ln, f.slots))
 	t.Cleanup(func() { f.srv.Close() })
 	a := dial(t, ln.Addr().String()).ask(request("check", "t1"))
 	if a.status != 502 || !strings.Contains(logs.String(), "choice.(*Gateway).Request") {
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &appServer{ln: ln, serve: serve, conns: make(chan net.Conn, 100)}
+	s := &appServer{ln: ln, serve: serve, conns: make(chan net.Conn, 1000)}
 	t.Cleanup(func() {
 		ln.Close()
 		for len(s.conns) > 0 {
@@ -135,15 +135,27 @@
 }
 
 func run(t testing.TB, cfg *Config) *running {
+	t.Helper()
+	return runListening(t, cfg, listen(t))
+}
+
+// listen opens a port for clients.
+func listen(t testing.TB) *net.TCPListener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { ln.Close() })
+	return ln.(*net.TCPListener)
+}
+
+func runListening(t testing.TB, cfg *Config, ln *net.TCPListener) *running {
+	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	r := &running{addr: ln.Addr().String(), stop: stop, done: make(chan error, 1), logs: &syncBuffer{}, hup: make(chan os.Signal, 1)}
 	go func() {
-		r.done <- runOn(ctx, cfg, r.hup, slog.New(slog.NewTextHandler(r.logs, nil)), func() (net.Listener, error) { return ln, nil })
+		r.done <- runOn(ctx, cfg, r.hup, slog.New(slog.NewTextHandler(r.logs, nil)), func() (*net.TCPListener, error) { return ln, nil })
 	}()
 	t.Cleanup(func() {
 		stop()
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -15,11 +15,13 @@
 // Run runs an edge node until ctx ends, then drains it. At each signal on reload it
 // reads its configuration again.
 func Run(ctx context.Context, cfg *Config, reload <-chan os.Signal, logger *slog.Logger) error {
-	return runOn(ctx, cfg, reload, logger, func() (net.Listener, error) { return net.Listen("tcp", cfg.Listen.String()) })
+	return runOn(ctx, cfg, reload, logger, func() (*net.TCPListener, error) {
+		return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(cfg.Listen))
+	})
 }
 
 // runOn is Run on the listener that listen opens.
-func runOn(ctx context.Context, cfg *Config, reload <-chan os.Signal, logger *slog.Logger, listen func() (net.Listener, error)) error {
+func runOn(ctx context.Context, cfg *Config, reload <-chan os.Signal, logger *slog.Logger, listen func() (*net.TCPListener, error)) error {
 	life, stop := context.WithCancel(context.Background())
 	defer stop()
 	n, err := newNode(life, cfg, logger)
@@ -50,40 +52,56 @@
 
 	// The saved list may be old, and what discovery has counts from the first moment. Clients are
 	// refused meanwhile: the wait of a request that stands in the listener's line passes unseen.
-	select {
-	case <-reg.heard:
-	case <-time.After(cfg.listFor):
-		logger.Warn("discovery has told nothing yet: the saved list holds")
-	case <-ctx.Done():
+	at := cfg.Discovery
+	for waited, told := time.After(cfg.listFor), false; !told; {
+		select {
+		case <-reg.heard:
+			told = true
+		case <-waited:
+			logger.Warn("discovery has told nothing yet: the saved list holds")
+			told = true
+		case <-reload:
+			at = reread(life, n, reg, at)
+		case <-ctx.Done():
+			logger.Info("ended before it was ready", "node", cfg.Name)
+			stop()
+			n.close()
+			return nil
+		}
 	}
-	ln, err := listen()
+	tcp, err := listen()
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	defer ln.Close()
+	defer tcp.Close()
 	f := newFront(n)
+	ln := newSlotListener(tcp, f.slots)
 	failed := make(chan error, 1)
 	side.Go(func() { failed <- f.serve(ln) })
 	f.ready.Store(true)
 	logger.Info("ready", "node", cfg.Name, "listen", cfg.Listen, "servers", len(cfg.Known.Servers),
 		"pushed", !cfg.Settings.AskList)
-	at := cfg.Discovery
-	for draining := false; !draining; {
+	ending := ctx.Done()
+	drained := make(chan struct{})
+	for {
 		select {
 		case err := <-failed:
-			return err
-		case <-reload:
+			if err != nil {
+				return err
+			}
+		case <-reload: // also while it drains: it still chooses servers
 			at = reread(life, n, reg, at)
-		case <-ctx.Done():
-			draining = true
+		case <-ending:
+			ending = nil
+			logger.Info("draining", "node", cfg.Name)
+			side.Go(func() { f.drain(ln); close(drained) })
+		case <-drained:
+			stop()
+			n.close()
+			logger.Info("drained", "node", cfg.Name)
+			return nil
 		}
 	}
-	logger.Info("draining", "node", cfg.Name)
-	f.drain(ln)
-	stop()
-	n.close()
-	logger.Info("drained", "node", cfg.Name)
-	return nil
 }
 
 // reread reads the configuration again and follows the list at the discovery that it names; what
--- a/internal/node/side_test.go
+++ b/internal/node/side_test.go
@@ -103,14 +103,11 @@
 		fmt.Fprintf(w, "%s\n", whole)
 		beat(ctx, w)
 	})
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	ln := listen(t)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
-		done <- runOn(ctx, cfg, nil, slog.New(slog.DiscardHandler), func() (net.Listener, error) {
+		done <- runOn(ctx, cfg, nil, slog.New(slog.DiscardHandler), func() (*net.TCPListener, error) {
 			select {
 			case <-tells:
 				opened <- true
--- a/internal/node/slots_test.go
+++ b/internal/node/slots_test.go
@@ -15,11 +15,8 @@
 	f := idleFront(t, testConfig(servers...))
 	f.slots.most = most
 	f.ready.Store(true)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go f.serve(ln)
+	ln := listen(t)
+	go f.serve(newSlotListener(ln, f.slots))
 	t.Cleanup(func() { f.srv.Close() })
 	return f, ln.Addr().String()
 }
@@ -174,7 +171,11 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { nc.Close() })
-		return c, &slotConn{Conn: nc, slots: s}
+		taken, err := newSlotConn(nc, s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c, taken
 	}
 	asks, first := accept()
 	_, second := accept()
