Hold attempts to their bounds at the write, and take answers that end with their connection

- the window for repeats was looked at when the choice fell, while a connection may come up 1.5 s later: Send carries by when the last byte has to be written, and the write gives up at it, before the first byte or in the middle.
So does the time of the attempt itself; a server whose zone or cell has changed since is another one, as one that restarted was.
- an idle connection was looked at when it was taken; what came between that and the write was taken for the answer, or met as a reset.
It is looked at in the step of the write, and another one is used.
- a second answer comes some milliseconds late: a connection rests for 20 ms before its next request.
- a server that answers before it has the request kept a long write waiting until the attempt's end.
- an answer without a length was an error: it is whole where its connection ends in order.

--- a/choice/api.go
+++ b/choice/api.go
@@ -190,8 +190,9 @@
 
 // Actions is what a gateway asks of its host.
 type Actions interface {
-	// Send starts the request's next attempt. A timeout of 0 lasts to the client's deadline.
-	Send(id, server string, timeout time.Duration)
+	// Send starts the request's next attempt. A timeout of 0 lasts to the client's deadline. Its last byte
+	// has to be on its way at the clock reading by, or the attempt is [Moot]; 0 sets no such bound.
+	Send(id, server string, timeout, by time.Duration)
 	// Refuse is a final answer: nothing happened and trying again is harmless.
 	Refuse(id string, retryAfter time.Duration)
 	// Fail is a final answer that promises nothing.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -897,16 +897,24 @@
 		if a.noRun || c.Effect == Safe {
 			continue
 		}
-		if c.Effect == Unsafe || g.now-a.sent > c.Window-2*g.set.Tick {
-			return false
-		}
-		if c.Group == GroupZone && a.zone != s.Zone || c.Group == GroupCell && a.cell != s.Cell {
+		if c.Effect == Unsafe || g.now > g.repeatBy(r) ||
+			c.Group == GroupZone && a.zone != s.Zone || c.Group == GroupCell && a.cell != s.Cell {
 			return false
 		}
 	}
 	return true
 }
 
+// repeatBy is until when a request of which an attempt may have run may be sent again, 0 if none has.
+func (g *Gateway) repeatBy(r *request) time.Duration {
+	for i := range r.attempts {
+		if c := &g.set.Classes[r.class]; c.Effect == Keyed && !r.attempts[i].noRun {
+			return r.attempts[i].sent + c.Window - 2*g.set.Tick
+		}
+	}
+	return 0
+}
+
 // mayRefuse is rule 2 for a refusal, which promises that trying again is harmless.
 func (g *Gateway) mayRefuse(r *request) bool {
 	c := &g.set.Classes[r.class]
@@ -945,8 +953,9 @@
 	if g.warmth(s) < 1 {
 		s.credit = math.Max(s.credit-1, 0)
 	}
+	by := g.repeatBy(r)
 	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, zone: s.Zone, cell: s.Cell})
-	g.out.Send(r.ID, s.ID, timeout)
+	g.out.Send(r.ID, s.ID, timeout, by)
 }
 
 // retry sends a further attempt if one is legal, affordable and of use.
--- /dev/null
+++ b/internal/node/attempt_test.go
@@ -0,0 +1,246 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"mulleinmux/choice"
+)
+
+// rest makes the idle connections to a server old enough to be used again.
+func (u *upstream) rest(server string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.backends[server].idle {
+		c.idle = c.idle.Add(-leastRest)
+	}
+}
+
+// A request whose server says something, or ends the connection, between the look at it and the write goes
+// out once, on another connection: nothing that came before it is its answer.
+func TestIdleConnectionChangesBeforeTheWrite(t *testing.T) {
+	for name, change := range map[string]func(net.Conn){
+		"half a line":        func(c net.Conn) { io.WriteString(c, "HTTP/1.1 200 OK\r\nConte") },
+		"the answer again":   func(c net.Conn) { io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother") },
+		"closed":             func(c net.Conn) { c.Close() },
+		"reset":              func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+		"sending side ended": func(c net.Conn) { c.(*net.TCPConn).CloseWrite() },
+	} {
+		s := newAppServer(t, say(okAnswer))
+		u := testUpstream(s.instance("a"))
+		exchange(t, u, "a")
+		u.rest("a")
+		c := u.backends["a"].idle[0]
+		server := await(t, "a connection", s.conns)
+		c.raw = between{RawConn: c.raw, write: func() {
+			change(server)
+			eventually(t, "it has come", func() bool { return !c.quiet() })
+		}}
+		rep, res := exchange(t, u, "a")
+		if res != choice.OK || string(rep.body) != "body" {
+			t.Errorf("%s: result %v, body %q", name, res, rep.body)
+		}
+		if n := len(s.requests()); n != 2 || u.open != 1 {
+			t.Errorf("%s: %d copies of 2 requests, %d connections counted", name, n, u.open)
+		}
+	}
+}
+
+// A connection is not used again for as long as a second answer may still come on it.
+func TestConnectionRestsBeforeItsNextRequest(t *testing.T) {
+	s := newAppServer(t, say(okAnswer))
+	u := testUpstream(s.instance("a"))
+	exchange(t, u, "a")
+	b := u.backends["a"]
+	used := b.idle[0]
+	now := used.idle
+	for _, at := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 0}, {leastRest - 1, 0}, {leastRest, 1}} {
+		if n := b.rested(now.Add(at.after)); n != at.want {
+			t.Errorf("%v after its answer %d connections may be used, want %d", at.after, n, at.want)
+		}
+	}
+}
+
+// What an attempt is held to holds at its first byte: nothing goes out late, nor to a server that has
+// become another one.
+func TestBoundsHoldAtTheWrite(t *testing.T) {
+	past, later := time.Now(), time.Now().Add(time.Hour)
+	as := func(change func(*Instance)) func(*upstream, Instance) {
+		return func(u *upstream, in Instance) { change(&in); closeAll(u.update([]Instance{in}, false)) }
+	}
+	for name, c := range map[string]struct {
+		to      bounds
+		happens func(*upstream, Instance)
+		want    error
+	}{
+		"in time":                   {to: bounds{until: later, whole: later}},
+		"no bounds":                 {},
+		"its time is over":          {to: bounds{until: past}, want: errLate},
+		"its repeat is too late":    {to: bounds{until: later, whole: past}, want: errLate},
+		"the server restarted":      {happens: as(func(in *Instance) { in.Boot = time.Hour }), want: errUnknown},
+		"it is in another zone":     {happens: as(func(in *Instance) { in.Zone = "other" }), want: errUnknown},
+		"it is in another cell":     {happens: as(func(in *Instance) { in.Cell++ }), want: errUnknown},
+		"it is at another address":  {happens: as(func(in *Instance) { in.Addr = netip.MustParseAddrPort("127.0.0.1:1") }), want: errUnknown},
+		"the list says nothing new": {happens: as(func(*Instance) {})},
+	} {
+		s := newAppServer(t, say(okAnswer))
+		u := testUpstream(s.instance("a"))
+		conn, err := u.take(t.Context(), "a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.happens != nil {
+			c.happens(u, s.instance("a"))
+		}
+		if err := u.write(t.Context(), conn, &message{}, c.to, []byte("GET /x HTTP/1.1\r\nHost: a\r\n\r\n")); err != c.want {
+			t.Errorf("%s: error %v, want %v", name, err, c.want)
+		}
+		conn.Conn.(*net.TCPConn).CloseWrite()
+		conn.SetDeadline(time.Now().Add(patience))
+		io.Copy(io.Discard, conn) // the server ends once it has read all
+		if n := len(s.requests()); (n == 1) != (c.want == nil) {
+			t.Errorf("%s: %d requests arrived", name, n)
+		}
+	}
+}
+
+// slowReader is an app server that takes little of a request in at once.
+func slowReader(t *testing.T) (in Instance, conns chan net.Conn) {
+	t.Helper()
+	conns = make(chan net.Conn, 10)
+	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			conns <- c
+		}
+	}()
+	return Instance{Server: choice.Server{ID: "a"}, Addr: addrOf(ln)}, conns
+}
+
+// long is a request that no socket takes at once.
+var long = message{method: "POST", target: "/check", id: "long", body: make([]byte, 32<<20)}
+
+// A repeat whose last byte would be written too late is given up before it: it never runs.
+func TestLongRepeatEndsBeforeItsLastByte(t *testing.T) {
+	in, conns := slowReader(t)
+	u := testUpstream(in)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	_, res := u.exchange(ctx, "a", &long, time.Now().Add(50*time.Millisecond))
+	wantResult(t, res, choice.Moot)
+	c := await(t, "a connection", conns)
+	c.SetDeadline(time.Now().Add(patience))
+	if n, _ := io.Copy(io.Discard, c); n >= int64(len(long.body)) {
+		t.Errorf("%d bytes arrived: all of it", n)
+	}
+	if u.open != 0 || ctx.Err() != nil {
+		t.Errorf("%d connections counted, %v", u.open, ctx.Err())
+	}
+}
+
+// An answer to a request that is not written yet is no answer to it: the attempt ends, and has never run.
+func TestAnswerBeforeTheRequestIsWritten(t *testing.T) {
+	for _, text := range []string{okAnswer, "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 F\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"} {
+		in, conns := slowReader(t)
+		u := testUpstream(in)
+		result := make(chan choice.Result, 1)
+		go func() {
+			_, res := u.exchange(context.Background(), "a", &long, time.Time{})
+			result <- res
+		}()
+		c := await(t, "a connection", conns)
+		io.ReadFull(c, make([]byte, 100))
+		io.WriteString(c, text)
+		wantResult(t, await(t, "a result", result), choice.ConnectFailed)
+	}
+}
+
+// A long request that is taken in bit by bit is written whole and answered.
+func TestLongRequest(t *testing.T) {
+	in, conns := slowReader(t)
+	u := testUpstream(in)
+	result := make(chan choice.Result, 1)
+	go func() {
+		_, res := u.exchange(context.Background(), "a", &long, time.Now().Add(time.Hour))
+		result <- res
+	}()
+	c := await(t, "a connection", conns)
+	s := &appServer{serve: say(okAnswer)}
+	go s.loop(c)
+	wantResult(t, await(t, "a result", result), choice.OK)
+	u.rest("a")
+	go func() {
+		_, res := u.exchange(context.Background(), "a", &get, time.Time{})
+		result <- res
+	}()
+	wantResult(t, await(t, "a result on the same connection", result), choice.OK)
+	if n := len(s.requests()); n != 2 {
+		t.Errorf("%d requests on the connection", n)
+	}
+}
+
+// An answer without a length is whole where its connection ends in order, and not where it is reset.
+func TestAnswerWithoutALength(t *testing.T) {
+	for name, c := range map[string]struct {
+		text  string
+		reset bool
+		want  choice.Result
+	}{
+		"orderly end":            {"HTTP/1.1 200 OK\r\n\r\nbody", false, choice.OK},
+		"below HTTP/1.1":         {"HTTP/1.0 200 OK\r\n\r\nbody", false, choice.OK},
+		"reset":                  {"HTTP/1.1 200 OK\r\n\r\nbody", true, choice.Reset},
+		"turned away":            {"HTTP/1.1 503 F\r\nX-Never-Ran: 1\r\n\r\n", false, choice.Full},
+		"turned away, but reset": {"HTTP/1.1 503 F\r\nX-Never-Ran: 1\r\n\r\n", true, choice.Reset},
+		"too long":               {"HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", maxReply+1), false, choice.ErrorAnswer},
+	} {
+		ln := listen(t)
+		u := testUpstream(Instance{Server: choice.Server{ID: "a"}, Addr: addrOf(ln)})
+		type outcome struct {
+			reply
+			choice.Result
+		}
+		done := make(chan outcome, 1)
+		go func() {
+			rep, res := u.exchange(context.Background(), "a", &get, time.Time{})
+			done <- outcome{rep, res}
+		}()
+		server, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		server.Read(make([]byte, 4096))
+		io.WriteString(server, c.text)
+		if c.reset {
+			server.(*net.TCPConn).SetLinger(0)
+		}
+		server.Close()
+		o := await(t, "a result", done)
+		if o.Result != c.want || c.want == choice.OK && string(o.body) != "body" {
+			t.Errorf("%s: result %v, body %q", name, o.Result, o.body)
+		}
+		if len(u.backends["a"].idle) != 0 || u.open != 0 {
+			t.Errorf("%s: its connection is kept", name)
+		}
+	}
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -27,6 +27,7 @@
 	probeTimeout = 500 * time.Millisecond // a probe that takes longer tells nothing of the present
 	idleShare    = 0.8                    // of connIdle after which an idle connection is not used again
 	leastKeep    = 50 * time.Millisecond  // one that rested for less is not reset for that
+	leastRest    = 20 * time.Millisecond  // from an answer to the next request: a second answer may come that late
 	staleWithin  = 20 * time.Millisecond  // from the write to the reset of a connection that was given up
 	keepDoubles  = 10 * time.Second       // after which idle connections are kept for twice as long again
 	maxReply     = 64 << 10               // bytes that the body of an answer may hold
@@ -77,10 +78,13 @@
 	open     int
 }
 
-// backend is an app server and its idle connections, the latest used last.
+// backend is an app server, as the list describes it, and its idle connections, the latest used
+// last. What makes it another one to a request that was decided on makes it another backend.
 type backend struct {
 	addr netip.AddrPort
 	boot time.Duration
+	zone string
+	cell int
 	up   bool
 	idle []*conn
 
@@ -172,12 +176,12 @@
 		}
 		listed[e.ID] = true
 		b := u.backends[e.ID]
-		if b != nil && (b.addr != e.Addr || b.boot != e.Boot) {
+		if b != nil && (b.addr != e.Addr || b.boot != e.Boot || b.zone != e.Zone || b.cell != e.Cell) {
 			stale = append(stale, u.drop(e.ID, b)...)
 			b = nil
 		}
 		if b == nil {
-			b = &backend{addr: e.Addr, boot: e.Boot}
+			b = &backend{addr: e.Addr, boot: e.Boot, zone: e.Zone, cell: e.Cell}
 			u.backends[e.ID] = b
 		}
 		if b.up = e.State == choice.Up; !b.up {
@@ -239,10 +243,19 @@
 	errUnknown = errors.New("server is not up in the list")
 	errBudget  = errors.New("no descriptor left for a connection")
 	errOver    = errors.New("the request has its final answer")
+	errLate    = errors.New("too late to be sent")
+	errStale   = errors.New("the connection was closed, or brought something unasked")
+	errEarly   = errors.New("the server answers before it has the request")
 )
 
-// take returns a connection to the server: the idle one used last, if it still
-// lives, or a new one.
+// bounds is what an attempt is held to as it is written, however long ago it was decided on.
+type bounds struct {
+	until time.Time // an attempt not begun by then must not begin
+	whole time.Time // by when its last byte has to be written; zero: no bound
+}
+
+// take returns a connection to the server: of the idle ones that have rested, the one used last
+// that still lives, or a new one.
 func (u *upstream) take(ctx context.Context, server string) (*conn, error) {
 	for {
 		u.mu.Lock()
@@ -251,9 +264,9 @@
 			u.mu.Unlock()
 			return nil, errUnknown
 		}
-		if n := len(b.idle); n > 0 {
+		if n := b.rested(time.Now()); n > 0 {
 			c := b.idle[n-1]
-			b.idle = b.idle[:n-1]
+			b.idle = append(b.idle[:n-1], b.idle[n:]...)
 			keep := u.keepFor(b)
 			u.mu.Unlock()
 			if c.rested = time.Since(c.idle); c.rested < keep && c.quiet() {
@@ -264,6 +277,13 @@
 		}
 		var spare *conn
 		if u.open >= u.most {
+			if len(b.idle) > 0 { // it rests for a moment: no other has to be closed for that
+				u.mu.Unlock()
+				if !u.waitRested(ctx, b) {
+					return nil, errBudget
+				}
+				continue
+			}
 			if spare = u.longestIdle(); spare == nil {
 				u.mu.Unlock()
 				return nil, errBudget
@@ -275,10 +295,41 @@
 		if spare != nil {
 			spare.Close()
 		}
-		return u.dial(ctx, b)
+		c, err := u.dial(ctx, b)
+		// A server that takes no new connection may still answer on one that rests for a moment.
+		if err == nil || !u.waitRested(ctx, b) {
+			return c, err
+		}
 	}
 }
 
+// waitRested waits until an idle connection of the backend has rested, and tells whether there is one.
+func (u *upstream) waitRested(ctx context.Context, b *backend) bool {
+	u.mu.Lock()
+	if len(b.idle) == 0 {
+		u.mu.Unlock()
+		return false
+	}
+	wait := time.NewTimer(leastRest - time.Since(b.idle[0].idle))
+	u.mu.Unlock()
+	defer wait.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-wait.C:
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return b.rested(time.Now()) > 0
+}
+
+// rested counts the idle connections that were not used a moment ago. They are the first ones.
+func (b *backend) rested(now time.Time) (n int) {
+	for n = len(b.idle); n > 0 && now.Sub(b.idle[n-1].idle) < leastRest; n-- {
+	}
+	return n
+}
+
 // longestIdle takes the connection that has been idle for longest out of its pool,
 // or returns nil. Called under the mutex.
 func (u *upstream) longestIdle() *conn {
@@ -348,41 +399,56 @@
 // read. One that the server has closed, or on which something came unasked, would
 // end a request written to it as a reset, which may not be repeated freely.
 func (c *conn) quiet() bool {
-	var b [1]byte
 	quiet := false
-	err := c.raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-		return true
-	})
+	err := c.raw.Control(func(fd uintptr) { quiet = nothingIn(fd) })
 	return err == nil && quiet
 }
 
+// nothingIn tells whether a socket is open with nothing to read.
+func nothingIn(fd uintptr) bool {
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == syscall.EAGAIN
+}
+
 // exchange writes the message to the server, once at most, and reads the whole
-// answer. It gives up when ctx ends, by closing the connection before it returns.
-func (u *upstream) exchange(ctx context.Context, server string, m *message) (reply, choice.Result) {
-	c, err := u.take(ctx, server)
-	if errors.Is(err, errBudget) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-		return reply{}, choice.Moot // no fault of the server's
-	}
-	if err != nil {
-		return reply{}, neverSent(ctx)
-	}
-	c.in.expect(ctx)
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	req := m.request(ctx)
-	var out bytes.Buffer
-	if err = req.Write(&out); err == nil {
-		err = u.write(ctx, c, m, out.Bytes())
-	}
-	if err != nil {
+// answer. It gives up when ctx ends, by closing the connection before it returns. Its last
+// byte is written by the time whole, if that is not zero, or never.
+func (u *upstream) exchange(ctx context.Context, server string, m *message, whole time.Time) (reply, choice.Result) {
+	until, _ := ctx.Deadline()
+	to := bounds{until: until, whole: whole}
+	var c *conn
+	var req *http.Request
+	var stop func() bool
+	for {
+		var err error
+		c, err = u.take(ctx, server)
+		if errors.Is(err, errBudget) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			return reply{}, choice.Moot // no fault of the server's
+		}
+		if err != nil {
+			return reply{}, neverSent(ctx)
+		}
+		c.in.expect(ctx)
+		stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+		req = m.request(ctx)
+		var out bytes.Buffer
+		if err = req.Write(&out); err == nil {
+			err = u.write(ctx, c, m, to, out.Bytes())
+		}
+		if err == nil {
+			break
+		}
 		// A server begins a request when its last byte has come, and that was not written.
 		stop()
 		u.discard(c)
-		if errors.Is(err, errOver) {
+		switch {
+		case errors.Is(err, errStale) && c.rested > 0: // since it was taken: another one may do
+		case errors.Is(err, errOver), errors.Is(err, errLate):
 			return reply{}, choice.Moot
+		default:
+			return reply{}, neverSent(ctx)
 		}
-		return reply{}, neverSent(ctx)
 	}
 	written := time.Now()
 	rep, result, reuse := c.read(req)
@@ -429,20 +495,26 @@
 }
 
 // write writes a request, unless by the time its first byte would go out its server has left
-// the list, it has its final answer or its attempt was given up: a send that has not begun by
-// then must not begin any more, however long ago it was decided.
-func (u *upstream) write(ctx context.Context, c *conn, m *message, text []byte) error {
+// the list, it has its final answer, its attempt was given up, its time is over or something has come on
+// the connection: a send that has not begun by then must not begin any more, however long ago it was decided.
+func (u *upstream) write(ctx context.Context, c *conn, m *message, to bounds, text []byte) error {
 	var n int
 	var err error
 	if failed := c.raw.Write(func(fd uintptr) bool {
-		u.mu.Lock() // for one system call that does not wait: what update, withdraw and cancel have done holds from here on
+		u.mu.Lock() // for two system calls that do not wait: what update, withdraw and cancel have done holds from here on
 		defer u.mu.Unlock()
 		err = ctx.Err()
+		now := time.Now()
 		switch {
 		case m.over:
 			err = errOver
 		case !c.of.up:
 			err = errUnknown
+		case err != nil:
+		case past(to.until, now), past(to.whole, now):
+			err = errLate
+		case !nothingIn(fd):
+			err = errStale
 		}
 		if err != nil {
 			return true
@@ -459,11 +531,51 @@
 		return err
 	}
 	if n < len(text) {
-		_, err = c.Write(text[n:])
+		return c.writeRest(ctx, to, text[n:])
+	}
+	return nil
+}
+
+// writeRest writes what the socket did not take at once. It ends early if the server answers, which
+// can't be to a request that it does not have, or if the last byte would come too late.
+func (c *conn) writeRest(ctx context.Context, to bounds, text []byte) error {
+	if !to.whole.IsZero() {
+		c.SetWriteDeadline(to.whole)
+	}
+	early := false
+	looked := make(chan struct{})
+	go func() {
+		defer close(looked)
+		c.raw.Read(func(fd uintptr) bool {
+			early = !nothingIn(fd)
+			return early
+		})
+		c.SetWriteDeadline(time.Unix(1, 0)) // also behind the last byte, where it changes nothing
+	}()
+	if ctx.Err() != nil { // its end may have set deadlines that these have replaced
+		c.SetDeadline(time.Unix(1, 0))
+	}
+	_, err := c.Write(text)
+	c.SetReadDeadline(time.Unix(1, 0)) // ends the look
+	<-looked
+	c.SetDeadline(time.Time{})
+	if ctx.Err() != nil {
+		c.SetDeadline(time.Unix(1, 0))
+	}
+	switch {
+	case err == nil:
+		return nil
+	case early:
+		return errEarly
+	case past(to.whole, time.Now()):
+		return errLate
 	}
 	return err
 }
 
+// past tells whether a time that was set is over.
+func past(t, now time.Time) bool { return !t.IsZero() && !now.Before(t) }
+
 // stale learns from a kept connection that was reset as soon as it was written to: the
 // server, or something on the way, gives idle connections up sooner than it tells. A
 // request that meets one may have run. From then on the server's connections are kept
@@ -564,13 +676,11 @@
 	if err != nil {
 		return failure()
 	}
-	chunked := len(resp.TransferEncoding) > 0
-	if resp.ContentLength > maxReply || resp.ContentLength < 0 && !chunked {
-		// One without a length ends with its connection: whether it is whole can't be told.
+	if resp.ContentLength > maxReply {
 		return reply{}, choice.ErrorAnswer, false
 	}
 	var body []byte
-	if chunked {
+	if resp.ContentLength < 0 { // it ends with its last chunk, or with its connection: a reset is no end
 		body, err = io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
 	} else {
 		body = make([]byte, resp.ContentLength)
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -45,7 +45,7 @@
 
 func (r *Reply) end() { r.buf = append(r.buf, '\n') }
 
-func (r *Reply) Send(id, server string, timeout time.Duration) {
+func (r *Reply) Send(id, server string, timeout, _ time.Duration) { // the simulator sends at once
 	r.begin("CALL_OUT")
 	r.str(id)
 	r.str(server)
