Wait a moment for a connection to rest, and send to the server that was chosen

An attempt names the server as it was when it was chosen: one that restarted or moved since is another one.

go test ./internal/node passes; TestRepeatGoesToTheServerThatWasChosen, TestRepeatCarriesItsWindow.

--- a/internal/node/attempt_test.go
+++ b/internal/node/attempt_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"strings"
 	"syscall"
@@ -94,7 +96,7 @@
 	} {
 		s := newAppServer(t, say(okAnswer))
 		u := testUpstream(s.instance("a"))
-		conn, err := u.take(t.Context(), "a")
+		conn, err := u.take(t.Context(), "a", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -113,6 +115,59 @@
 	}
 }
 
+// A repeat goes to the server as it was when it was chosen: not to one that has restarted since, or that
+// is in another zone by now.
+func TestRepeatGoesToTheServerThatWasChosen(t *testing.T) {
+	s := newAppServer(t, say(okAnswer))
+	u := testUpstream(s.instance("a"))
+	to := bounds{of: u.chosen("a")}
+	restarted := s.instance("a")
+	restarted.Boot = time.Hour
+	closeAll(u.update([]Instance{restarted}, false))
+	_, res := u.exchange(t.Context(), "a", &get, to)
+	wantResult(t, res, choice.ConnectFailed)
+	_, res = u.exchange(t.Context(), "a", &get, bounds{of: u.chosen("a")})
+	wantResult(t, res, choice.OK)
+	if n := len(s.requests()); n != 1 {
+		t.Errorf("%d requests arrived", n)
+	}
+}
+
+// The bound of a repeat comes from the request's first attempt that may have run, and reaches the write.
+func TestRepeatCarriesItsWindow(t *testing.T) {
+	s := newAppServer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		if r.Method == "POST" {
+			return say("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n")(c, r, body)
+		}
+		return say(okAnswer)(c, r, body)
+	})
+	n := idleFront(t, testConfig(s.instance("a"), s.instance("b"))).node
+	ask := func(id, class, method string) *flight {
+		q := choice.Request{ID: id, Class: class, Plan: "wide", Grace: 10 * time.Second, Units: 1, Spread: 1}
+		fl := n.begin(q, message{method: method, target: "/" + class, id: id}, time.Now().Add(patience))
+		await(t, "an answer", fl.answer)
+		return fl
+	}
+	for i := range 10 { // by which repeats are earned
+		ask(fmt.Sprint("c", i), "check", "GET")
+	}
+	fl := ask("t1", "book", "POST")
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(fl.attempts) < 2 {
+		t.Fatalf("%d attempts, want a repeat", len(fl.attempts))
+	}
+	if at := fl.attempts[0]; !at.to.whole.IsZero() {
+		t.Errorf("the first attempt is bound to %v", at.to.whole)
+	}
+	window := n.cfg.Settings.Classes[1].Window - 2*n.cfg.Settings.Tick
+	for _, at := range fl.attempts[1:] {
+		if got := at.to.whole.Sub(n.start) + time.Duration(n.start.UnixNano()) - fl.attempts[0].sent; got > window || got < window-time.Millisecond {
+			t.Errorf("a repeat is bound to %v behind the first send, want %v", got, window)
+		}
+	}
+}
+
 // slowReader is an app server that takes little of a request in at once.
 func slowReader(t *testing.T) (in Instance, conns chan net.Conn) {
 	t.Helper()
@@ -147,7 +202,7 @@
 	u := testUpstream(in)
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
-	_, res := u.exchange(ctx, "a", &long, time.Now().Add(50*time.Millisecond))
+	_, res := u.exchange(ctx, "a", &long, bounds{whole: time.Now().Add(50 * time.Millisecond)})
 	wantResult(t, res, choice.Moot)
 	c := await(t, "a connection", conns)
 	c.SetDeadline(time.Now().Add(patience))
@@ -166,7 +221,7 @@
 		u := testUpstream(in)
 		result := make(chan choice.Result, 1)
 		go func() {
-			_, res := u.exchange(context.Background(), "a", &long, time.Time{})
+			_, res := u.exchange(context.Background(), "a", &long, bounds{})
 			result <- res
 		}()
 		c := await(t, "a connection", conns)
@@ -182,7 +237,7 @@
 	u := testUpstream(in)
 	result := make(chan choice.Result, 1)
 	go func() {
-		_, res := u.exchange(context.Background(), "a", &long, time.Now().Add(time.Hour))
+		_, res := u.exchange(context.Background(), "a", &long, bounds{whole: time.Now().Add(time.Hour)})
 		result <- res
 	}()
 	c := await(t, "a connection", conns)
@@ -191,7 +246,7 @@
 	wantResult(t, await(t, "a result", result), choice.OK)
 	u.rest("a")
 	go func() {
-		_, res := u.exchange(context.Background(), "a", &get, time.Time{})
+		_, res := u.exchange(context.Background(), "a", &get, bounds{})
 		result <- res
 	}()
 	wantResult(t, await(t, "a result on the same connection", result), choice.OK)
@@ -222,7 +277,7 @@
 		}
 		done := make(chan outcome, 1)
 		go func() {
-			rep, res := u.exchange(context.Background(), "a", &get, time.Time{})
+			rep, res := u.exchange(context.Background(), "a", &get, bounds{})
 			done <- outcome{rep, res}
 		}()
 		server, err := ln.Accept()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,7 +48,7 @@
 	number int
 	server string
 	sent   time.Duration
-	whole  time.Time // by when its last byte has to be written; zero: no bound
+	to     bounds
 	cancel context.CancelFunc
 }
 
@@ -203,7 +203,7 @@
 // try carries out one attempt and brings its outcome to the gateway.
 func (n *Node) try(ctx context.Context, fl *flight, a *attempt) {
 	defer n.work.Done()
-	rep, result := n.up.exchange(ctx, a.server, &fl.msg, a.whole)
+	rep, result := n.up.exchange(ctx, a.server, &fl.msg, a.to)
 	a.cancel()
 	units := rep.settled(n.cfg.Settings.MostUnits)
 	n.event(func(now time.Duration, out choice.Actions) {
@@ -230,7 +230,7 @@
 	defer n.work.Done()
 	ctx, cancel := context.WithTimeout(n.ctx, probeTimeout)
 	defer cancel()
-	rep, result := n.up.exchange(ctx, server, &message{method: "GET", target: loadPath}, time.Time{})
+	rep, result := n.up.exchange(ctx, server, &message{method: "GET", target: loadPath}, bounds{})
 	load := rep.load
 	if load == nil {
 		load = parseLoad(string(rep.body))
@@ -255,8 +255,9 @@
 	}
 	ctx, cancel := context.WithDeadline(n.ctx, until)
 	at := &attempt{number: len(fl.attempts), server: server, sent: n.now(), cancel: cancel}
+	at.to.of = n.up.chosen(server)
 	if by != 0 {
-		at.whole = n.start.Add(by - time.Duration(n.start.UnixNano()))
+		at.to.whole = n.start.Add(by - time.Duration(n.start.UnixNano()))
 	}
 	fl.attempts = append(fl.attempts, at)
 	fl.out++
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -250,17 +250,26 @@
 
 // bounds is what an attempt is held to as it is written, however long ago it was decided on.
 type bounds struct {
+	of    *backend  // the server as it was when it was chosen; nil: as it is
 	until time.Time // an attempt not begun by then must not begin
 	whole time.Time // by when its last byte has to be written; zero: no bound
 }
 
-// take returns a connection to the server: of the idle ones that have rested, the one used last
-// that still lives, or a new one.
-func (u *upstream) take(ctx context.Context, server string) (*conn, error) {
-	for {
+// chosen is the server as it is now.
+func (u *upstream) chosen(server string) *backend {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.backends[server]
+}
+
+// take returns a connection to the server: of the idle ones that have rested, or will have in a
+// moment, the one used last that still lives, or else a new one. A server that is not any more
+// what it was when it was chosen gets none.
+func (u *upstream) take(ctx context.Context, server string, of *backend) (*conn, error) {
+	for waited := false; ; {
 		u.mu.Lock()
 		b := u.backends[server]
-		if b == nil || !b.up {
+		if b == nil || !b.up || of != nil && b != of {
 			u.mu.Unlock()
 			return nil, errUnknown
 		}
@@ -275,15 +284,14 @@
 			u.discard(c)
 			continue
 		}
+		if len(b.idle) > 0 && !waited { // a moment's rest costs less than a new connection
+			u.mu.Unlock()
+			waited = true
+			u.waitRested(ctx, b)
+			continue
+		}
 		var spare *conn
 		if u.open >= u.most {
-			if len(b.idle) > 0 { // it rests for a moment: no other has to be closed for that
-				u.mu.Unlock()
-				if !u.waitRested(ctx, b) {
-					return nil, errBudget
-				}
-				continue
-			}
 			if spare = u.longestIdle(); spare == nil {
 				u.mu.Unlock()
 				return nil, errBudget
@@ -412,17 +420,17 @@
 }
 
 // exchange writes the message to the server, once at most, and reads the whole
-// answer. It gives up when ctx ends, by closing the connection before it returns. Its last
-// byte is written by the time whole, if that is not zero, or never.
-func (u *upstream) exchange(ctx context.Context, server string, m *message, whole time.Time) (reply, choice.Result) {
-	until, _ := ctx.Deadline()
-	to := bounds{until: until, whole: whole}
+// answer. It gives up when ctx ends, by closing the connection before it returns.
+func (u *upstream) exchange(ctx context.Context, server string, m *message, to bounds) (reply, choice.Result) {
+	if until, ok := ctx.Deadline(); ok {
+		to.until = until
+	}
 	var c *conn
 	var req *http.Request
 	var stop func() bool
 	for {
 		var err error
-		c, err = u.take(ctx, server)
+		c, err = u.take(ctx, server, to.of)
 		if errors.Is(err, errBudget) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 			return reply{}, choice.Moot // no fault of the server's
 		}
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -32,7 +32,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	return u.exchange(ctx, server, &get, time.Time{})
+	return u.exchange(ctx, server, &get, bounds{})
 }
 
 func wantResult(t *testing.T, got, want choice.Result) {
@@ -167,7 +167,7 @@
 				return c.serve(conn, r, body)
 			})
 			u := testUpstream(s.instance("a"))
-			spare, err := u.take(context.Background(), "a")
+			spare, err := u.take(context.Background(), "a", nil)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -179,7 +179,7 @@
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), patience)
 			defer cancel()
-			if _, res := u.exchange(ctx, "a", &message{method: "GET", target: "/check", id: "fine"}, time.Time{}); res != choice.OK {
+			if _, res := u.exchange(ctx, "a", &message{method: "GET", target: "/check", id: "fine"}, bounds{}); res != choice.OK {
 				t.Errorf("the next request: result %d", res)
 			}
 		})
@@ -194,7 +194,7 @@
 		return say("HTTP/1.1 200 OK\r\n")(c, r, body)
 	})
 	u := testUpstream(s.instance("a"))
-	spare, err := u.take(context.Background(), "a")
+	spare, err := u.take(context.Background(), "a", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -208,7 +208,7 @@
 	u.rest("a")
 	ctx, result := newEnding(), make(chan choice.Result, 1)
 	go func() {
-		_, res := u.exchange(ctx, "a", &get, time.Time{})
+		_, res := u.exchange(ctx, "a", &get, bounds{})
 		result <- res
 	}()
 	await(t, "half an answer", written)
@@ -248,7 +248,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), patience)
 			defer cancel()
 			rest := func(d time.Duration) {
-				u.exchange(ctx, "a", fine, time.Time{})
+				u.exchange(ctx, "a", fine, bounds{})
 				b.idle[0].idle = time.Now().Add(-d)
 			}
 			rest(c.rested)
@@ -259,7 +259,7 @@
 			}
 			rest(c.rested)
 			old := b.idle[0]
-			u.exchange(ctx, "a", fine, time.Time{})
+			u.exchange(ctx, "a", fine, bounds{})
 			if again := b.idle[0] == old; again == c.learns {
 				t.Errorf("used again: %v", again)
 			}
@@ -289,7 +289,7 @@
 	u := testUpstream(s.instance("a"))
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
 	defer cancel()
-	_, res := u.exchange(ctx, "a", &get, time.Time{})
+	_, res := u.exchange(ctx, "a", &get, bounds{})
 	wantResult(t, res, choice.Moot)
 }
 
@@ -327,7 +327,7 @@
 	done := make(chan choice.Result, 2)
 	for range 2 {
 		go func() {
-			_, res := u.exchange(context.Background(), "a", &get, time.Time{})
+			_, res := u.exchange(context.Background(), "a", &get, bounds{})
 			done <- res
 		}()
 	}
@@ -415,7 +415,7 @@
 	u.update([]Instance{{Server: choice.Server{ID: "a"}, Addr: addrOf(ln)}}, true)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	_, res := u.exchange(ctx, "a", &get, time.Time{})
+	_, res := u.exchange(ctx, "a", &get, bounds{})
 	wantResult(t, res, choice.ConnectFailed)
 	if ctx.Err() != nil || u.open != 0 {
 		t.Errorf("context %v, %d connections counted", ctx.Err(), u.open)
@@ -432,7 +432,7 @@
 		u := testUpstream(s.instance("a"))
 		ctx, result := newEnding(), make(chan choice.Result, 1)
 		go func() {
-			_, res := u.exchange(ctx, "a", &get, time.Time{})
+			_, res := u.exchange(ctx, "a", &get, bounds{})
 			result <- res
 		}()
 		eventually(t, "request out", func() bool { return len(s.requests()) == 1 })
@@ -455,7 +455,7 @@
 		return say(okAnswer)(c, r, body)
 	})
 	u := testUpstream(s.instance("a"))
-	c, err := u.take(context.Background(), "a")
+	c, err := u.take(context.Background(), "a", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -463,7 +463,7 @@
 	u.giveBack(c)
 	ctx, result := newEnding(), make(chan choice.Result, 1)
 	go func() {
-		_, res := u.exchange(ctx, "a", &message{method: "GET", target: "/check", id: "silent"}, time.Time{})
+		_, res := u.exchange(ctx, "a", &message{method: "GET", target: "/check", id: "silent"}, bounds{})
 		result <- res
 	}()
 	eventually(t, "request out", func() bool { return len(s.requests()) == 2 })
@@ -503,7 +503,7 @@
 			exchange(t, u, "a") // leaves one idle
 			done := make(chan choice.Result)
 			go func() {
-				_, res := u.exchange(context.Background(), "a", &get, time.Time{})
+				_, res := u.exchange(context.Background(), "a", &get, bounds{})
 				done <- res
 			}()
 			eventually(t, "second request out", func() bool { return len(s.requests()) == 2 })
@@ -546,7 +546,7 @@
 		t.Fatal(err)
 	}
 	n.boot()
-	c, err := n.up.take(t.Context(), "a")
+	c, err := n.up.take(t.Context(), "a", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -555,10 +555,10 @@
 	n.end(fl, answer{kind: failed})
 	n.mu.Unlock()
 	n.up.giveBack(c)
-	if _, result := n.up.exchange(t.Context(), "a", &fl.msg, time.Time{}); result != choice.Moot {
+	if _, result := n.up.exchange(t.Context(), "a", &fl.msg, bounds{}); result != choice.Moot {
 		t.Errorf("result %v", result)
 	}
-	c, err = n.up.take(t.Context(), "a")
+	c, err = n.up.take(t.Context(), "a", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -568,7 +568,7 @@
 		t.Errorf("an attempt that was given up is written: %v", err)
 	}
 	n.up.giveBack(c)
-	if _, result := n.up.exchange(t.Context(), "a", &message{method: "GET", target: "/other"}, time.Time{}); result != choice.OK {
+	if _, result := n.up.exchange(t.Context(), "a", &message{method: "GET", target: "/other"}, bounds{}); result != choice.OK {
 		t.Errorf("another request: result %v", result)
 	}
 	if got := srv.requests(); len(got) != 1 || got[0] != "GET /other " {
@@ -586,12 +586,12 @@
 		u := newUpstream(wire.Transport{ConnIdle: time.Minute, ConnectTimeout: patience}, 10)
 		u.update([]Instance{in}, true)
 		if kept {
-			if _, result := u.exchange(t.Context(), "a", &message{method: "GET", target: "/first"}, time.Time{}); result != choice.OK {
+			if _, result := u.exchange(t.Context(), "a", &message{method: "GET", target: "/first"}, bounds{}); result != choice.OK {
 				t.Fatalf("first request: %v", result)
 			}
 			u.rest("a")
 		}
-		c, err := u.take(t.Context(), "a")
+		c, err := u.take(t.Context(), "a", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -624,7 +624,7 @@
 	_, res := exchange(t, u, "b")
 	wantResult(t, res, choice.OK)
 	wantClosed(t, await(t, "a connection", a.conns))
-	busy, err := u.take(context.Background(), "b")
+	busy, err := u.take(context.Background(), "b", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
