Keep a SIGHUP that comes with the process's first instruction

A process dies of a SIGHUP that comes before it asks for it: the loader and the runtime run first. The deploy file's order ignores the signal before the exec, which a process inherits; the program asks for it before it reads its configuration, so that an earlier one announces what is read anyway. SIGTERM is taken from the start as well.

--- a/cmd/mulleinmux/main.go
+++ b/cmd/mulleinmux/main.go
@@ -24,9 +24,12 @@
 func main() {
 	logger := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	// From the first moment: SIGHUP ends a program that does not handle it. One that comes
-	// while another is being served is kept, and the file is read once more.
+	// while another is being served is kept, and the file is read once more. One that comes
+	// before this line is ignored by the deploy file's order, and the file was not read yet.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	cfg, err := node.LoadConfig(os.Getenv)
 	if err != nil {
 		logger.Error("configuration", "err", err)
@@ -37,8 +40,6 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	if err := node.Run(ctx, cfg, reload, logger); err != nil {
 		logger.Error("the node ended", "err", err)
 		os.Exit(1)
--- a/cmd/mulleinmux/main_test.go
+++ b/cmd/mulleinmux/main_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -55,6 +56,81 @@
 	}
 }
 
+// A SIGHUP that comes with the process's first instruction, under the deploy file's order, neither ends it
+// nor loses the configuration that it announces.
+func TestHangupFromTheFirstInstruction(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	order := regexp.MustCompile(`(?m)^run = "(.*)"$`).FindSubmatch(text)
+	if order == nil {
+		t.Fatal("the deploy file has no order to run")
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	if err := os.Mkdir(filepath.Join(dir, "bin"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Symlink(self, filepath.Join(dir, "bin", "mulleinmux")); err != nil {
+		t.Fatal(err)
+	}
+	config := func(discovery string) string {
+		return fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1",
+			"settings":{"instances":1,"lanes":[{"name":"c","idempotency":"retryable","onTime":0.4,"deadline":2}]}}`, discovery)
+	}
+	for range 5 {
+		next, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		called := make(chan struct{})
+		go func() {
+			if c, err := next.Accept(); err == nil {
+				close(called)
+				c.Close()
+			}
+		}()
+		cmd, logs := program(t, config("127.0.0.1:1"))
+		path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "PROXY_CONFIG=")
+		cmd.Path, cmd.Args, cmd.Dir = "/bin/sh", []string{"sh", "-c", string(order[1])}, dir
+		if err := os.WriteFile(path+".new", []byte(config(next.Addr().String())), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		for end := time.Now().Add(30 * time.Second); ; { // no pause: the signal is to come early
+			name, err := os.ReadFile(fmt.Sprintf("/proc/%d/comm", cmd.Process.Pid))
+			if err != nil || time.Now().After(end) {
+				t.Fatalf("the program has not begun: %v", err)
+			}
+			if strings.TrimSpace(string(name)) == "mulleinmux" {
+				break
+			}
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-called:
+		case <-time.After(30 * time.Second):
+			t.Fatalf("the new discovery is never called, logged %q", logs())
+		}
+		cmd.Process.Signal(syscall.SIGTERM)
+		if err := cmd.Wait(); err != nil {
+			t.Errorf("%v, logged %q", err, logs())
+		}
+		next.Close()
+	}
+}
+
 // SIGHUP reads the configuration again and ends nothing; a planned restart's SIGTERM ends
 // the program with 0.
 func TestSignals(t *testing.T) {
