Keep a connection with an answer under way from counting as a resting one

The look at the client goes on until its answer is written; woken for nothing, it took the connection for one that waits for its next request, which the drain may close.

--- a/internal/node/slots.go
+++ b/internal/node/slots.go
@@ -286,14 +286,14 @@
 		c.become(reading)
 		return n, nil
 	}
-	return c.receive(p)
+	return c.receive(p, true)
 }
 
 // watch reads ahead until the client's side ends, or the deadline that the library sets to end the look.
 func (c *slotConn) watch() error {
 	var piece [512]byte
 	for len(c.ahead) <= mostAhead {
-		n, err := c.receive(piece[:])
+		n, err := c.receive(piece[:], false)
 		if c.ahead = append(c.ahead, piece[:n]...); err != nil {
 			return err
 		}
@@ -305,8 +305,8 @@
 }
 
 // receive reads from the socket, and nothing of a connection that was given up. What it returns of that is
-// an error to which the HTTP library gives no answer.
-func (c *slotConn) receive(p []byte) (n int, err error) {
+// an error to which the HTTP library gives no answer. next tells that the next request is waited for.
+func (c *slotConn) receive(p []byte, next bool) (n int, err error) {
 	failed := c.raw.Read(func(fd uintptr) bool {
 		c.slots.mu.Lock()
 		defer c.slots.mu.Unlock()
@@ -317,8 +317,8 @@
 		case c.err != nil:
 			err = c.err
 			return true
-		case c.state == answering:
-			c.enter(idle) // the library asks for the next request
+		case c.state == answering && next:
+			c.enter(idle)
 		}
 		for {
 			if n, err = syscall.Read(int(fd), p); err != syscall.EINTR {
