Have the test of a close over a request wait until the request has come

Under the race detector on busy cores TestRequestBehindTheCloseStaysUnread failed in 2 of 60 runs: its hook could find nothing on the connection and let the read go on, into which the request then came.

--- a/internal/node/cross_test.go
+++ b/internal/node/cross_test.go
@@ -166,11 +166,15 @@
 	var asks atomic.Bool
 	_, addr := serveHooked(t, testConfig(s.instance("a")), func(f *front, c *slotConn) {
 		c.raw = between{RawConn: c.raw, read: func() {
-			if asks.Load() && c.waiting() {
-				f.slots.mu.Lock()
+			if !asks.Load() {
+				return
+			}
+			eventually(t, "the next request has come", c.waiting) // or it could come behind the close
+			f.slots.mu.Lock()
+			defer f.slots.mu.Unlock()
+			if c.state != ended {
 				f.slots.leave(c, ended)
 				delete(f.slots.conns, c)
-				f.slots.mu.Unlock()
 			}
 		}, readDone: func() {
 			if asks.Load() {
