Do not take the end of a drain for a failed listener

The drain runs beside the loop that waits for the listener's error, since: where it had closed the server before the library saw its listener closed, Serve returned "http: Server closed" and the node ended with code 1. TestDrainOvertakesTheListener forces the order and fails without the mend.

--- a/internal/node/cross_test.go
+++ b/internal/node/cross_test.go
@@ -318,6 +318,17 @@
 	}
 }
 
+// The drain may have closed all before the library sees that its listener is closed: that is no failure.
+func TestDrainOvertakesTheListener(t *testing.T) {
+	f := idleFront(t, testConfig())
+	ln := newSlotListener(listen(t), f.slots)
+	f.draining.Store(true)
+	f.srv.Close()
+	if err := f.serve(ln); err != nil {
+		t.Errorf("error %v", err)
+	}
+}
+
 // An order to end that comes before the node is ready ends it, with no listener opened.
 func TestEndBeforeReady(t *testing.T) {
 	cfg := testConfig()
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -77,8 +77,8 @@
 // serve answers clients until drain closes the listener.
 func (f *front) serve(ln *slotListener) error {
 	err := f.srv.Serve(ln)
-	if f.draining.Load() && errors.Is(err, net.ErrClosed) {
-		return nil
+	if f.draining.Load() && (errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed)) {
+		return nil // the second where the drain has ended all before the library sees the first
 	}
 	return fmt.Errorf("listen: %w", err)
 }
