--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -388,31 +387,8 @@
 // A server whose machine is gone says nothing: the dial has a bound of its own, and
 // what it ends has never run.
 func TestDialIsBounded(t *testing.T) {
-	// A listener whose backlog is full drops what comes.
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := os.NewFile(uintptr(fd), "listener")
-	defer f.Close()
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Listen(fd, 0); err != nil {
-		t.Fatal(err)
-	}
-	ln, err := net.FileListener(f)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	for range 3 { // fill it
-		if c, err := net.DialTimeout("tcp", ln.Addr().String(), 100*time.Millisecond); err == nil {
-			defer c.Close()
-		}
-	}
 	u := newUpstream(wire.Transport{ConnIdle: time.Minute, ConnectTimeout: 50 * time.Millisecond}, 100)
-	u.update([]Instance{{Server: choice.Server{ID: "a"}, Addr: addrOf(ln)}}, true)
+	u.update([]Instance{{Server: choice.Server{ID: "a"}, Addr: blocked(t)}}, true)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	_, res := u.exchange(ctx, "a", &get, bounds{})
