Review, case 2: an answer whose length is too small is served cut off

Cause: the reader of responses takes the bytes behind a too small Content-Length for noise and serves the rest as whole. Nothing of the program is changed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 // cases contains the cases by their numbers.
 var cases = map[string]func(*deployment, bool) (broken int, err error){
 	"1": hiddenRequests,
+	"2": shortLengths,
 }
 
 func main() {
