Review, case 3: a slowly written long request is answered after its time

Cause: a read of one byte counts as the watch on a request in flight, but net/http also makes one while it reads a head. Change: adds the case with its script. Nothing of the program is changed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(*deployment, bool) (broken int, err error){
 	"1": hiddenRequests,
 	"2": shortLengths,
+	"3": slowLongRequests,
 }
 
 func main() {
