--- a/review/trial2/slow_writers.go
+++ b/review/trial2/case10.go
@@ -6,19 +6,15 @@
 	"time"
 )
 
-func init() {
-	cases["9"] = crowdOfDescriptors
-	cases["10"] = crowdOfBodies
-}
+func init() { cases["10"] = crowdOfDescriptors }
 
 // slowWriters is a trial of clients that write some of their requests in two parts.
 type slowWriters struct {
 	config nodeConfig
 	pause  time.Duration // between the two parts of a request
 	length time.Duration // of the trial
-	crowd  int           // number of bad clients
-	text   string        // what a bad client sends
-	rest   time.Duration // pause of a bad client that was turned away
+	crowd  int           // number of idle clients
+	rest   time.Duration // pause of an idle client that was turned away
 }
 
 // crowdOfDescriptors lets idle clients fill the descriptors of a node while other clients write slowly.
@@ -30,18 +26,6 @@
 	})
 }
 
-// crowdOfBodies lets bad clients send half of long requests while other clients write slowly.
-func crowdOfBodies(t *trial) (breaks []string, err error) {
-	return t.playSlowWriters(&slowWriters{
-		config: nodeConfig{nodes: 3, memoryMB: 64, sockets: 1024},
-		pause:  250 * time.Millisecond, length: 15 * time.Second,
-		crowd: 330,
-		text: "POST /quote-issue?customer=00000000b4d65522 HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: half-a-request\r\n" +
-			"X-Qos: quote-issue\r\nX-Contract: grand\r\nX-Expires-In: 3.000\r\nX-Metering: units=1,spread=1,first=0\r\n" +
-			"Content-Length: 65536\r\n\r\nhalf",
-	})
-}
-
 // slowResults are the outcomes of the requests that were written slowly on a connection that had served one before.
 type slowResults struct {
 	mu                       sync.Mutex
@@ -69,11 +53,11 @@
 		})
 	}
 	if t.trouble && t.sleep(2*time.Second) {
-		t.record.linef("%d bad clients come to %s", s.crowd, f.nodes[0].name)
+		t.record.linef("%d idle clients come to %s", s.crowd, f.nodes[0].name)
 		for range s.crowd {
 			clients.Go(func() {
 				for time.Now().Before(end) {
-					badClient(f.nodes[0].addr, s.text, time.Now().Add(time.Millisecond))
+					badClient(f.nodes[0].addr, "", time.Now().Add(time.Millisecond))
 					time.Sleep(s.rest)
 				}
 			})
--- a/review/trial2/client.go
+++ b/review/trial2/client.go
@@ -96,6 +96,11 @@
 		time.Sleep(r.pause)
 		text = text[half:]
 	}
+	return c.send(text, wait)
+}
+
+// send writes the rest of a request and waits for its answer.
+func (c *clientConn) send(text string, wait time.Duration) (o outcome) {
 	if _, o.err = io.WriteString(c, text); o.err != nil {
 		return o
 	}
--- a/review/trial2/fleet.go
+++ b/review/trial2/fleet.go
@@ -141,7 +141,7 @@
 
 // awaitReady waits until the node accepts requests.
 func (n *edgeNode) awaitReady(t *trial) error {
-	client := http.Client{Timeout: time.Second}
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for range 300 {
 		resp, err := client.Get("http://" + n.addr + "/health/ready")
 		if err == nil {
