--- a/review/trial2/main.go
+++ b/review/trial2/main.go
@@ -45,6 +45,7 @@
 		fmt.Fprintln(os.Stderr, "usage: trial2 FOLDER RUN-COMMAND")
 		os.Exit(exitNotRun)
 	}
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE) // a closed output must not end a run before its processes
 	os.Exit(runCase(os.Args[1], os.Args[2]))
 }
 
