--- a/review/trial2/case8.go
+++ b/review/trial2/case8.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,9 +72,15 @@
 // quoteFor returns the body of the answer to a request: a quote with a price.
 func quoteFor(id string) string { return "quote " + id + " price=148250" }
 
-// writeAnswer writes an answer with the given length in one piece and closes the connection a little later, as after
-// every spoilt answer.
+// writeAnswer writes an answer with the given length. After one whose length does not fit, the connection is left open
+// for a while and is of no further use.
 func writeAnswer(w http.ResponseWriter, body string, length int) error {
+	if length == len(body) {
+		w.Header().Set("X-Settled", "1")
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+		_, err := io.WriteString(w, body)
+		return err
+	}
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return err
